--- /dev/null
+++ b/src/main/java/io/cherryspool/cli/Server.java
@@ -0,0 +1,89 @@
+package io.cherryspool.cli;
+
+import io.cherryspool.config.ConfigException;
+import io.cherryspool.config.OperatorSettings;
+import io.cherryspool.config.Settings;
+import io.cherryspool.controller.Controller;
+import io.cherryspool.http.NettyClient;
+import io.cherryspool.http.NettyLoop;
+import io.cherryspool.http.NettyServer;
+import io.cherryspool.mesh.NettyMesh;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Wires the parts of a node on real sockets and clocks. */
+final class Server {
+  private static final Logger LOG = LoggerFactory.getLogger(Server.class);
+
+  /** Sockets kept for the calls to the state service, the cloud, the workers and the mesh. */
+  private static final double OWN_SOCKETS = 0.25;
+
+  private Server() {}
+
+  /** Both settings, checked. */
+  record Loaded(Settings platform, OperatorSettings operators) {}
+
+  /** Reads the settings; a mistake is one line on standard error. */
+  static Optional<Loaded> load(Path config, Path operators) {
+    try {
+      return Optional.of(new Loaded(Settings.load(config), OperatorSettings.load(operators)));
+    } catch (ConfigException e) {
+      System.err.println("cherryspool: " + e.getMessage());
+      return Optional.empty();
+    }
+  }
+
+  static int run(Loaded settings) throws InterruptedException {
+    Settings platform = settings.platform();
+    NettyLoop loop = new NettyLoop();
+    PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    Controller[] controller = new Controller[1];
+    NettyMesh mesh =
+        new NettyMesh(
+            loop,
+            platform.peers().stream().map(Settings.Peer::endpoint).toList(),
+            word -> controller[0].heard(word));
+    controller[0] =
+        new Controller(
+            platform,
+            settings.operators(),
+            new Controller.Surroundings(
+                loop,
+                new NettyClient(loop),
+                mesh,
+                RandomGenerator.getDefault(),
+                Instant::now,
+                UUID.randomUUID().toString(),
+                registry,
+                registry::scrape));
+    int connections = (int) (platform.fdLimit() * (1 - OWN_SOCKETS));
+    NettyServer server = new NettyServer(loop, controller[0], connections);
+    try {
+      server.bind(platform.listen());
+      mesh.bind(platform.mesh());
+    } catch (InterruptedException e) {
+      throw e;
+    } catch (Exception e) {
+      // Netty throws the checked BindException without declaring it.
+      System.err.println("cherryspool: " + e.getMessage());
+      loop.shutdown();
+      return 1;
+    }
+    List<Runnable> stops = List.of(controller[0]::stop, mesh::stop, loop::shutdown);
+    Runtime.getRuntime()
+        .addShutdownHook(new Thread(() -> stops.forEach(loop::execute), "shutdown"));
+    LOG.info("{} in {} listens on {}", platform.name(), platform.zone(), platform.listen());
+    loop.execute(mesh::start);
+    loop.execute(controller[0]::start);
+    loop.join();
+    return 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/cloud/CloudClient.java
@@ -0,0 +1,90 @@
+package io.cherryspool.cloud;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.http.Request;
+import io.cherryspool.http.Transport;
+import io.cherryspool.model.MachineType;
+import io.cherryspool.wire.CloudWire;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.WireException;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+/** The cloud's calls. A future that fails leaves open whether the cloud carried the request out. */
+public final class CloudClient {
+  private static final int PAGE = 500;
+  private static final int NO_CAPACITY = 503;
+
+  private final Transport transport;
+  private final Endpoint service;
+  private final Duration deadline;
+
+  public CloudClient(Transport transport, Endpoint service, Duration deadline) {
+    this.transport = transport;
+    this.service = service;
+    this.deadline = deadline;
+  }
+
+  /** The cloud's refusal, as opposed to no answer. */
+  public static final class Refused extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+    private final boolean noCapacity;
+
+    Refused(int status, boolean noCapacity) {
+      super("the cloud answered " + status + (noCapacity ? ", no capacity" : ""));
+      this.noCapacity = noCapacity;
+    }
+
+    /** Whether this type, zone and kind is sold out, rather than the cloud in trouble. */
+    public boolean noCapacity() {
+      return noCapacity;
+    }
+  }
+
+  public CompletableFuture<List<MachineType>> catalog() {
+    return call(CloudWire.catalog(), CloudWire::parseCatalog);
+  }
+
+  public CompletableFuture<CloudWire.Page> list(String after) {
+    return call(CloudWire.list(after, PAGE), CloudWire::parsePage);
+  }
+
+  public CompletableFuture<List<String>> rent(
+      String name, String type, String zone, boolean spot, int count) {
+    return call(CloudWire.rent(name, type, zone, spot, count), CloudWire::parseRented);
+  }
+
+  public CompletableFuture<Void> delete(List<String> machines) {
+    return call(CloudWire.delete(machines), body -> null);
+  }
+
+  private <T> CompletableFuture<T> call(Request request, Parser<T> parser) {
+    return transport
+        .send(service, request, deadline)
+        .thenApply(
+            reply -> {
+              try {
+                if (reply.status() != 200) {
+                  boolean full =
+                      reply.status() == NO_CAPACITY && CloudWire.isNoCapacity(reply.body());
+                  throw new Refused(reply.status(), full);
+                }
+                JsonNode body =
+                    reply.body().length == 0 ? Json.object() : Json.parseObject(reply.body());
+                return parser.parse(body);
+              } catch (WireException e) {
+                throw new CompletionException(
+                    new IOException("the cloud's answer: " + e.getMessage()));
+              }
+            });
+  }
+
+  @FunctionalInterface
+  private interface Parser<T> {
+    T parse(JsonNode body) throws WireException;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/config/Settings.java
@@ -0,0 +1,177 @@
+package io.cherryspool.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.model.Team;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The settings that the platform hands over, as JSON. Fields it adds later are ignored. */
+public record Settings(
+    String name,
+    String zone,
+    Endpoint listen,
+    Endpoint mesh,
+    List<Peer> peers,
+    Endpoint cloud,
+    Endpoint state,
+    List<Team> teams,
+    Duration report,
+    Duration workerLease,
+    Duration cancelWithin,
+    StateLimits stateLimits,
+    double cloudRps,
+    Duration listLag,
+    int fdLimit) {
+
+  /** Another controller node. */
+  public record Peer(String name, Endpoint endpoint) {}
+
+  /** What the state service bears, from all nodes together. */
+  public record StateLimits(double rps, double writeRps, int valueBytes, int txnOps) {}
+
+  public static Settings load(Path file) throws ConfigException {
+    JsonNode root;
+    try {
+      root = new ObjectMapper().readTree(Files.readAllBytes(file));
+    } catch (IOException e) {
+      throw new ConfigException(file + ": " + firstLine(e));
+    }
+    return parse(root, file.toString());
+  }
+
+  /** Reads the settings; {@code origin} names them in complaints. */
+  public static Settings parse(JsonNode root, String origin) throws ConfigException {
+    Reader top = new Reader(origin, "", root);
+    Reader facts = top.object("facts");
+    Reader workers = facts.object("workers");
+    Reader state = facts.object("state");
+    Reader cloud = facts.object("cloud");
+    Reader services = top.object("services");
+    List<Peer> peers = new ArrayList<>();
+    for (Reader peer : top.list("known")) {
+      peers.add(new Peer(peer.text("host_name"), peer.endpoint("endpoint")));
+    }
+    List<Team> teams = new ArrayList<>();
+    for (Reader team : facts.list("teams")) {
+      teams.add(
+          new Team(
+              team.text("name"),
+              team.number("cpus", 0),
+              team.number("cpus_max", 0),
+              team.number("gpus", 0),
+              team.number("gpus_max", 0)));
+    }
+    Duration lease = workers.seconds("lease_s");
+    Duration cancel = workers.seconds("cancel_s");
+    if (cancel.compareTo(lease) <= 0) {
+      throw new ConfigException(
+          origin + ": facts.workers.cancel_s must be longer than facts.workers.lease_s");
+    }
+    return new Settings(
+        top.text("host_name"),
+        top.text("site"),
+        top.endpoint("client_listen"),
+        top.endpoint("mesh_addr"),
+        List.copyOf(peers),
+        services.endpoint("cloud"),
+        services.endpoint("state"),
+        List.copyOf(teams),
+        workers.seconds("report_s"),
+        lease,
+        cancel,
+        new StateLimits(
+            state.positive("rps"),
+            state.positive("write_rps"),
+            (int) (state.positive("value_kb") * 1024),
+            (int) state.positive("txn_ops")),
+        cloud.positive("rps"),
+        cloud.seconds("list_lag_s"),
+        (int) facts.object("resources").positive("fd_limit"));
+  }
+
+  private static String firstLine(IOException e) {
+    String text = String.valueOf(e.getMessage());
+    int end = text.indexOf('\n');
+    return end < 0 ? text : text.substring(0, end);
+  }
+
+  /** Reads fields of one object and names the field in every complaint. */
+  private record Reader(String origin, String path, JsonNode node) {
+
+    private String at(String field) {
+      return origin + ": " + (path.isEmpty() ? field : path + "." + field);
+    }
+
+    private String under(String field) {
+      return path.isEmpty() ? field : path + "." + field;
+    }
+
+    Reader object(String field) throws ConfigException {
+      JsonNode found = node.path(field);
+      if (!found.isObject()) {
+        throw new ConfigException(at(field) + " must be an object");
+      }
+      return new Reader(origin, under(field), found);
+    }
+
+    List<Reader> list(String field) throws ConfigException {
+      JsonNode found = node.path(field);
+      if (!found.isArray()) {
+        throw new ConfigException(at(field) + " must be a list");
+      }
+      List<Reader> result = new ArrayList<>();
+      for (int i = 0; i < found.size(); i++) {
+        if (!found.get(i).isObject()) {
+          throw new ConfigException(at(field) + "[" + i + "] must be an object");
+        }
+        result.add(new Reader(origin, under(field) + "[" + i + "]", found.get(i)));
+      }
+      return result;
+    }
+
+    String text(String field) throws ConfigException {
+      JsonNode found = node.path(field);
+      if (!found.isTextual() || found.textValue().isEmpty()) {
+        throw new ConfigException(at(field) + " must be a non-empty string");
+      }
+      return found.textValue();
+    }
+
+    Endpoint endpoint(String field) throws ConfigException {
+      try {
+        return Endpoint.parse(text(field));
+      } catch (IllegalArgumentException e) {
+        throw new ConfigException(at(field) + ": " + e.getMessage());
+      }
+    }
+
+    double number(String field, double absent) throws ConfigException {
+      JsonNode found = node.path(field);
+      if (found.isMissingNode() || found.isNull()) {
+        return absent;
+      }
+      if (!found.isNumber() || !(found.doubleValue() >= 0)) {
+        throw new ConfigException(at(field) + " must be a number of at least 0");
+      }
+      return found.doubleValue();
+    }
+
+    double positive(String field) throws ConfigException {
+      double value = number(field, Double.NaN);
+      if (!(value > 0)) {
+        throw new ConfigException(at(field) + " must be a number above 0");
+      }
+      return value;
+    }
+
+    Duration seconds(String field) throws ConfigException {
+      return Duration.ofNanos((long) (positive(field) * 1e9));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -0,0 +1,287 @@
+package io.cherryspool.controller;
+
+import io.cherryspool.cloud.CloudClient;
+import io.cherryspool.config.OperatorSettings;
+import io.cherryspool.config.Settings;
+import io.cherryspool.duty.Duty;
+import io.cherryspool.duty.EventLoop;
+import io.cherryspool.http.Handler;
+import io.cherryspool.http.Reply;
+import io.cherryspool.http.Request;
+import io.cherryspool.http.Transport;
+import io.cherryspool.mesh.Mesh;
+import io.cherryspool.model.Report;
+import io.cherryspool.model.Team;
+import io.cherryspool.store.Budget;
+import io.cherryspool.store.GroupCommit;
+import io.cherryspool.store.Records;
+import io.cherryspool.store.Replica;
+import io.cherryspool.store.StateClient;
+import io.cherryspool.wire.JobWire;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.WireException;
+import io.cherryspool.wire.WorkerWire;
+import io.cherryspool.worker.WorkerClient;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One controller node: answers requests, takes part in elections, and leads while it is elected. It
+ * knows sockets, clocks and chance only through what it is given.
+ */
+public final class Controller implements Duty, Handler {
+  private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+  private static final String JOBS = "/api/jobs";
+  private static final String CANCEL = "/withdraw";
+
+  private final EventLoop loop;
+  private final Settings settings;
+  private final OperatorSettings operators;
+  private final Timings timings;
+  private final Mesh mesh;
+  private final Supplier<Instant> wall;
+  private final Supplier<String> metrics;
+  private final Map<String, Team> teams = new HashMap<>();
+  private final Map<String, Duration> peersWithState = new HashMap<>();
+  private final StateClient state;
+  private final Budget budget;
+  private final Replica replica;
+  private final Election election;
+  private final CloudClient cloud;
+  private final WorkerClient workers;
+  private final CatalogKeeper catalog;
+  private final UserApi users;
+  private Reign reign;
+  private EventLoop.Timer timer;
+
+  /** What the node is given to work with. {@code metrics} writes the registry out. */
+  public record Surroundings(
+      EventLoop loop,
+      Transport transport,
+      Mesh mesh,
+      RandomGenerator random,
+      Supplier<Instant> wall,
+      String instance,
+      MeterRegistry registry,
+      Supplier<String> metrics) {}
+
+  public Controller(Settings settings, OperatorSettings operators, Surroundings given) {
+    this.settings = settings;
+    this.operators = operators;
+    this.loop = given.loop();
+    this.mesh = given.mesh();
+    this.wall = given.wall();
+    this.metrics = given.metrics();
+    this.timings = Timings.of(settings, operators);
+    settings.teams().forEach(team -> teams.put(team.name(), team));
+    Settings.StateLimits limits = settings.stateLimits();
+    int nodes = settings.peers().size() + 1;
+    state = new StateClient(given.transport(), settings.state(), timings.stateCall());
+    budget = new Budget(loop, nodes, limits.rps(), limits.writeRps());
+    Duration refreshGap = Duration.ofNanos((long) (2e9 * nodes / limits.rps()));
+    replica = new Replica(loop, state, budget, refreshGap, timings.stateCall().dividedBy(2));
+    election =
+        new Election(
+            loop,
+            state,
+            budget,
+            replica,
+            given.random(),
+            timings,
+            settings.name(),
+            given.instance());
+    cloud = new CloudClient(given.transport(), settings.cloud(), timings.cloudCall());
+    workers = new WorkerClient(given.transport(), timings.workerCall());
+    catalog = new CatalogKeeper(loop, cloud, replica, state, budget, election::leading);
+    GroupCommit commits =
+        new GroupCommit(
+            loop, state, budget, limits.txnOps(), 4 * limits.txnOps(), timings.stateCall());
+    users =
+        new UserApi(
+            replica,
+            commits,
+            teams,
+            catalog::types,
+            wall,
+            limits.valueBytes(),
+            operators.failureCap());
+    Gauge.builder("cherryspool.leading", () -> reign == null ? 0 : 1).register(given.registry());
+    Gauge.builder("cherryspool.term", replica::term).register(given.registry());
+    Gauge.builder("cherryspool.jobs.active", () -> replica.active().size())
+        .register(given.registry());
+    Gauge.builder("cherryspool.jobs.accepted", replica::jobCount).register(given.registry());
+    Gauge.builder("cherryspool.machines", () -> reign == null ? 0 : reign.fleet().all().size())
+        .register(given.registry());
+  }
+
+  @Override
+  public void start() {
+    election.onChange(this::leadership);
+    replica.onChange(this::recordsChanged);
+    replica.start();
+    election.start();
+    catalog.start();
+    tick();
+  }
+
+  @Override
+  public void stop() {
+    if (reign != null) {
+      reign.stop();
+      reign = null;
+    }
+    if (timer != null) {
+      timer.cancel();
+    }
+    catalog.stop();
+    election.stop();
+    replica.stop();
+  }
+
+  /** Word from another node. */
+  public void heard(Mesh.Word word) {
+    election.hear(word.term());
+    if (word.state()) {
+      peersWithState.put(word.node(), loop.now());
+    } else {
+      peersWithState.remove(word.node());
+    }
+  }
+
+  private void tick() {
+    timer = loop.schedule(timings.stateLease().dividedBy(8), this::tick);
+    mesh.tell(new Mesh.Word(settings.name(), replica.term(), reachesState()));
+  }
+
+  private boolean reachesState() {
+    Duration confirmed = replica.confirmed();
+    return confirmed != null && loop.now().minus(confirmed).compareTo(timings.stateLease()) < 0;
+  }
+
+  private void recordsChanged() {
+    if (reign != null) {
+      reign.recordsChanged();
+    }
+  }
+
+  private void leadership() {
+    boolean leading = election.leading();
+    if (reign != null && (!leading || reign.term() != replica.term())) {
+      reign.stop();
+      reign = null;
+      budget.setLeader(false);
+    }
+    if (reign == null && leading) {
+      budget.setLeader(true);
+      reign = newReign();
+      reign.start();
+    }
+  }
+
+  private Reign newReign() {
+    int maxChanges = settings.stateLimits().txnOps();
+    RoundWriter writer = new RoundWriter(loop, state, budget, maxChanges, replica.termVersion());
+    return new Reign(
+        loop,
+        replica,
+        workers,
+        cloud,
+        writer,
+        new Rounds.Limits(
+            operators.roundMax(),
+            timings.report().multipliedBy(2).plusMillis(500),
+            operators.failureCap(),
+            maxChanges),
+        new Reign.RentalLimits(settings.cloudRps(), settings.listLag(), operators.idleKeep()),
+        new Reign.Cluster(teams, catalog::types, wall),
+        timings,
+        replica.term(),
+        election::hear);
+  }
+
+  @Override
+  public CompletableFuture<Reply> handle(Request request) {
+    String path = request.path();
+    String method = request.method();
+    if (path.equals("/v1/report")) {
+      return method.equals("POST") ? done(report(request.body())) : notAllowed();
+    }
+    if (path.equals("/ready")) {
+      return method.equals("GET") ? done(ready()) : notAllowed();
+    }
+    if (path.equals("/metrics")) {
+      return method.equals("GET") ? done(metrics()) : notAllowed();
+    }
+    if (path.equals(JOBS)) {
+      return method.equals("POST") ? users.submit(request.body()) : notAllowed();
+    }
+    if (path.startsWith(JOBS + "/")) {
+      String rest = path.substring(JOBS.length() + 1);
+      if (rest.endsWith(CANCEL)) {
+        String id = rest.substring(0, rest.length() - CANCEL.length());
+        if (JobWire.isId(id)) {
+          return method.equals("POST") ? users.cancel(id) : notAllowed();
+        }
+      } else if (JobWire.isId(rest)) {
+        return method.equals("GET") ? users.poll(rest) : notAllowed();
+      }
+    }
+    return done(Reply.json(404, JobWire.error("no such thing")));
+  }
+
+  /**
+   * Ready while the node can serve users: it holds the state and reaches the state service, or no
+   * other node is known to reach it either, since then being passed over helps nobody.
+   */
+  private Reply ready() {
+    boolean ready = replica.loaded() && (reachesState() || !othersReachState());
+    return Reply.json(ready ? 200 : 503, JobWire.error(ready ? "none" : "not ready"));
+  }
+
+  private boolean othersReachState() {
+    Duration limit = loop.now().minus(timings.stateLease());
+    return peersWithState.values().stream().anyMatch(at -> at.compareTo(limit) > 0);
+  }
+
+  private Reply metrics() {
+    byte[] text = metrics.get().getBytes(StandardCharsets.UTF_8);
+    return new Reply(200, text, 0, "text/plain; version=0.0.4; charset=utf-8");
+  }
+
+  private Reply report(byte[] body) {
+    Report report;
+    try {
+      report = WorkerWire.parseReport(Json.parseObject(body));
+    } catch (WireException e) {
+      LOG.warn("a malformed report: {}", e.getMessage());
+      return Reply.json(400, JobWire.error(e.getMessage()));
+    }
+    if (reign != null && election.authorized()) {
+      byte[] answer = reign.report(report);
+      if (reign != null) {
+        return Reply.json(200, answer);
+      }
+    }
+    Records.Leader leader = replica.leader();
+    boolean other = leader != null && !leader.node().equals(settings.name()) && reachesState();
+    return Reply.json(421, WorkerWire.redirect(other ? leader.node() : null));
+  }
+
+  private static CompletableFuture<Reply> done(Reply reply) {
+    return CompletableFuture.completedFuture(reply);
+  }
+
+  private static CompletableFuture<Reply> notAllowed() {
+    return done(Reply.json(405, JobWire.error("method not allowed")));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/Election.java
@@ -0,0 +1,233 @@
+package io.cherryspool.controller;
+
+import io.cherryspool.duty.Duty;
+import io.cherryspool.duty.EventLoop;
+import io.cherryspool.store.Budget;
+import io.cherryspool.store.Records;
+import io.cherryspool.store.Replica;
+import io.cherryspool.store.StateClient;
+import io.cherryspool.store.StateException;
+import io.cherryspool.wire.StateWire;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps this node's lease in the state service and stands for leader while there is none. Who leads
+ * is read from the replica alone: an election whose answer was lost, or that is applied late,
+ * counts as soon as its record is seen, and not before.
+ */
+public final class Election implements Duty {
+  private static final Logger LOG = LoggerFactory.getLogger(Election.class);
+
+  private final EventLoop loop;
+  private final StateClient client;
+  private final Budget budget;
+  private final Replica replica;
+  private final RandomGenerator random;
+  private final Timings timings;
+  private final String node;
+  private final String instance;
+  private long lease;
+  private Duration renewed;
+  private boolean renewing;
+  private boolean standing;
+  private long heardTerm;
+  private Runnable onChange = () -> {};
+  private EventLoop.Timer timer;
+  private EventLoop.Timer candidacy;
+
+  public Election(
+      EventLoop loop,
+      StateClient client,
+      Budget budget,
+      Replica replica,
+      RandomGenerator random,
+      Timings timings,
+      String node,
+      String instance) {
+    this.loop = loop;
+    this.client = client;
+    this.budget = budget;
+    this.replica = replica;
+    this.random = random;
+    this.timings = timings;
+    this.node = node;
+    this.instance = instance;
+  }
+
+  /** Called when leadership may have changed. */
+  public void onChange(Runnable listener) {
+    onChange = listener;
+    replica.onChange(this::observe);
+  }
+
+  @Override
+  public void start() {
+    tick();
+  }
+
+  @Override
+  public void stop() {
+    if (timer != null) {
+      timer.cancel();
+    }
+    if (candidacy != null) {
+      candidacy.cancel();
+    }
+    if (lease != 0) {
+      client.end(lease);
+      lease = 0;
+    }
+  }
+
+  /** Word of a term from a worker or another node: a leader of a lower one stops at once. */
+  public void hear(long term) {
+    if (term > heardTerm) {
+      heardTerm = term;
+      if (replica.term() < term) {
+        replica.refresh().exceptionally(failure -> null);
+        onChange.run();
+      }
+    }
+  }
+
+  /** Whether the replica names this process as the leader, by a lease that it still holds. */
+  public boolean leading() {
+    Records.Leader leader = replica.leader();
+    return leader != null
+        && replica.loaded()
+        && leader.instance().equals(instance)
+        && leader.lease() == lease
+        && leader.term() == replica.term()
+        && leader.term() >= heardTerm;
+  }
+
+  /**
+   * Whether a leader may act for the controllers now. Counted from the sending of the last renewal
+   * that was confirmed, and of the last reading, so that it misses no cancel for longer than that.
+   */
+  public boolean authorized() {
+    return leading() && fresh(renewed) && fresh(replica.confirmed());
+  }
+
+  private boolean fresh(Duration since) {
+    return since != null && loop.now().minus(since).compareTo(timings.authority()) < 0;
+  }
+
+  private void tick() {
+    timer = loop.schedule(timings.stateLease().dividedBy(4), this::tick);
+    if (!renewing) {
+      if (lease == 0) {
+        take();
+      } else {
+        renew();
+      }
+    }
+    replica.refresh().exceptionally(failure -> null);
+    observe();
+  }
+
+  private void take() {
+    Duration sent = loop.now();
+    renewing = true;
+    budget.force(0);
+    client
+        .lease(timings.stateLease())
+        .whenComplete(
+            (id, failure) -> {
+              renewing = false;
+              if (failure == null) {
+                lease = id;
+                renewed = sent;
+                observe();
+              }
+            });
+  }
+
+  private void renew() {
+    Duration sent = loop.now();
+    long held = lease;
+    renewing = true;
+    budget.force(0);
+    client
+        .extend(held)
+        .whenComplete(
+            (nothing, failure) -> {
+              renewing = false;
+              if (failure == null) {
+                renewed = sent;
+              } else if (StateException.kindOf(failure) == StateException.Kind.GONE
+                  && lease == held) {
+                LOG.info("lease {} ran out", held);
+                lease = 0;
+                onChange.run();
+                take();
+              }
+            });
+  }
+
+  private void observe() {
+    onChange.run();
+    if (!replica.loaded() || lease == 0 || standing || candidacy != null) {
+      return;
+    }
+    Records.Leader leader = replica.leader();
+    if (leader == null) {
+      long wait = random.nextLong(Math.max(1, timings.stateLease().toMillis() / 20));
+      candidacy = loop.schedule(Duration.ofMillis(wait), this::stand);
+    } else if (leader.node().equals(node) && !leader.instance().equals(instance)) {
+      // The process that held this lease has ended, since this one runs in its place.
+      LOG.info("ending lease {} of an earlier process of this node", leader.lease());
+      standing = true;
+      budget.force(0);
+      client.end(leader.lease()).whenComplete((nothing, failure) -> settled());
+    }
+  }
+
+  private void stand() {
+    candidacy = null;
+    if (!replica.loaded() || lease == 0 || replica.leader() != null) {
+      return;
+    }
+    standing = true;
+    long term = replica.term() + 1;
+    Map<String, Long> conditions = new LinkedHashMap<>();
+    conditions.put(Records.LEADER, 0L);
+    conditions.put(Records.TERM, replica.termVersion());
+    budget.force(2);
+    LOG.info("standing for leader in term {}", term);
+    client
+        .commit(
+            conditions,
+            List.of(
+                new StateWire.Change(Records.TERM, Records.term(term), 0),
+                new StateWire.Change(
+                    Records.LEADER,
+                    Records.leader(new Records.Leader(term, node, instance, lease)),
+                    lease)))
+        .whenComplete(
+            (result, failure) -> {
+              if (failure != null
+                  && StateException.kindOf(failure) == StateException.Kind.REJECTED) {
+                lease = 0;
+              }
+              settled();
+            });
+  }
+
+  /** Whatever the answer was, the records tell the outcome. */
+  private void settled() {
+    replica
+        .refresh()
+        .whenComplete(
+            (nothing, failure) -> {
+              standing = false;
+              onChange.run();
+            });
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/Fleet.java
@@ -0,0 +1,102 @@
+package io.cherryspool.controller;
+
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.model.Report;
+import io.cherryspool.model.TaskId;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The machines that a leader knows from their messages and from the cloud's list. */
+final class Fleet {
+  private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+  private static final int IMAGES_REMEMBERED = 16;
+
+  private final Map<String, MachineState> machines = new LinkedHashMap<>();
+
+  /**
+   * Machines whose deletion is confirmed. The list shows them a while longer; names are not reused.
+   */
+  private final Set<String> gone = new HashSet<>();
+
+  MachineState get(String name) {
+    return machines.get(name);
+  }
+
+  Collection<MachineState> all() {
+    return Collections.unmodifiableCollection(machines.values());
+  }
+
+  boolean isGone(String name) {
+    return gone.contains(name);
+  }
+
+  MachineState add(
+      String name, String address, String type, String zone, boolean spot, Duration now) {
+    MachineState machine =
+        machines.computeIfAbsent(name, key -> new MachineState(name, type, zone, spot, now));
+    if (machine.endpoint == null && address != null) {
+      try {
+        machine.endpoint = Endpoint.parse(address);
+      } catch (IllegalArgumentException e) {
+        LOG.warn("machine {} has no usable address: {}", name, e.getMessage());
+      }
+    }
+    return machine;
+  }
+
+  void markGone(MachineState machine) {
+    machine.gone = true;
+    gone.add(machine.name);
+  }
+
+  /** Drops the states of machines that are gone and own nothing any more. */
+  void prune(Ownership ownership) {
+    for (Iterator<MachineState> all = machines.values().iterator(); all.hasNext(); ) {
+      MachineState machine = all.next();
+      if (machine.gone && ownership.on(machine.name).isEmpty()) {
+        all.remove();
+      }
+    }
+  }
+
+  /** Takes a worker's message in; null if the machine is gone, so that the message is history. */
+  MachineState accept(Report report, Duration now) {
+    if (gone.contains(report.machine())) {
+      return null;
+    }
+    MachineState machine =
+        add(report.machine(), report.address(), report.type(), report.zone(), report.spot(), now);
+    if (machine.accept(report, now)) {
+      observe(machine, report, now);
+    }
+    return machine;
+  }
+
+  private static void observe(MachineState machine, Report report, Duration now) {
+    Set<TaskId> running = new HashSet<>();
+    for (Report.TaskReport item : report.tasks()) {
+      if (item.state() == Report.State.RUNNING || item.state() == Report.State.SAVING) {
+        running.add(item.task());
+        machine.runningSince.putIfAbsent(item.task(), now);
+      }
+    }
+    machine.runningSince.keySet().retainAll(running);
+  }
+
+  /** Remembers an image that the machine has or will fetch. */
+  static void addImage(MachineState machine, String image) {
+    machine.images.remove(image);
+    machine.images.add(image);
+    if (machine.images.size() > IMAGES_REMEMBERED) {
+      machine.images.remove(machine.images.iterator().next());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/Judge.java
@@ -0,0 +1,107 @@
+package io.cherryspool.controller;
+
+import io.cherryspool.model.Attempt;
+import io.cherryspool.model.Order;
+import io.cherryspool.model.Report;
+import java.time.Duration;
+
+/**
+ * Decides what is proved of an owned task. A task is free again only on proof: its worker says that
+ * the attempt ended, or that it is absent after every start that could still run was fenced off;
+ * the worker is in a later session; the cloud has confirmed the machine's deletion; or the lease
+ * that could keep the worker's tasks alive has surely run out.
+ */
+final class Judge {
+  private final Timings timings;
+  private final Tokens tokens;
+  private final Stops stops;
+  private final Duration termStart;
+
+  Judge(Timings timings, Tokens tokens, Stops stops, Duration termStart) {
+    this.timings = timings;
+    this.tokens = tokens;
+    this.stops = stops;
+    this.termStart = termStart;
+  }
+
+  /** What is proved. */
+  enum Verdict {
+    OWNED,
+    DONE,
+    ENDED,
+    REFUSED,
+    FAILED,
+    LAPSED,
+    /** Owned, but a higher token at the worker would prove it free. */
+    NEEDS_FENCE
+  }
+
+  Verdict judge(Ownership.Owned owned, MachineState machine, Duration now) {
+    if (machine == null) {
+      return lapsed(termStart.plus(timings.authority()), now);
+    }
+    if (machine.gone) {
+      return Verdict.LAPSED;
+    }
+    Attempt attempt = owned.attempt();
+    Report latest = machine.latest;
+    if (latest != null) {
+      if (latest.session() > attempt.session()) {
+        return Verdict.LAPSED;
+      }
+      Verdict told = told(owned, machine);
+      if (told != Verdict.OWNED) {
+        return told;
+      }
+    }
+    return lapsed(keptAliveUntil(machine), now);
+  }
+
+  private Verdict told(Ownership.Owned owned, MachineState machine) {
+    Attempt attempt = owned.attempt();
+    Report.TaskReport item = machine.find(owned.id(), attempt.number());
+    if (item == null) {
+      return absent(owned, machine);
+    }
+    if (item.state() != Report.State.EXITED) {
+      return Verdict.OWNED;
+    }
+    if (item.cause() == Report.Cause.DONE) {
+      return Verdict.DONE;
+    }
+    // A start that has no answer yet could run once more after the attempt is forgotten.
+    if (machine.latest.token() <= tokens.base() || !machine.settled()) {
+      return Verdict.NEEDS_FENCE;
+    }
+    return switch (item.cause()) {
+      case STOPPED -> Verdict.ENDED;
+      case NO_ROOM, BUSY, UNKNOWN_JOB -> Verdict.REFUSED;
+      default -> Verdict.FAILED;
+    };
+  }
+
+  /** Absence proves something only of a task that will not be started again. */
+  private Verdict absent(Ownership.Owned owned, MachineState machine) {
+    if (stops.of(owned) == null || machine.latest.session() != owned.attempt().session()) {
+      return Verdict.OWNED;
+    }
+    Order start = Order.start(owned.id(), owned.attempt().number());
+    long sent = machine.started.getOrDefault(start, tokens.base());
+    if (machine.latest.token() <= sent || !machine.settled()) {
+      return Verdict.NEEDS_FENCE;
+    }
+    return Verdict.ENDED;
+  }
+
+  /** Until when some leader may have kept the worker alive. */
+  private Duration keptAliveUntil(MachineState machine) {
+    Duration own = machine.answered == null ? termStart : machine.answered;
+    boolean fenced = machine.latest != null && machine.latest.token() > tokens.base();
+    Duration earlier = fenced ? termStart : termStart.plus(timings.authority());
+    return own.compareTo(earlier) > 0 ? own : earlier;
+  }
+
+  private Verdict lapsed(Duration keptAlive, Duration now) {
+    return now.minus(keptAlive).compareTo(timings.lapse()) > 0 ? Verdict.LAPSED : Verdict.OWNED;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/Orders.java
@@ -0,0 +1,65 @@
+package io.cherryspool.controller;
+
+import io.cherryspool.model.Order;
+import io.cherryspool.model.Report;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What a worker is to do, from the committed records and its newest message alone. The same orders
+ * come again until a message shows them done, so none is lost with an answer.
+ */
+final class Orders {
+  private final Stops stops;
+  private final Tokens tokens;
+
+  Orders(Stops stops, Tokens tokens) {
+    this.stops = stops;
+    this.tokens = tokens;
+  }
+
+  List<Order> of(MachineState machine, List<Ownership.Owned> owned) {
+    Report latest = machine.latest;
+    List<Order> orders = new ArrayList<>();
+    for (Report.TaskReport item : latest.tasks()) {
+      Ownership.Owned owner = owner(item, owned, latest.session());
+      if (owner != null) {
+        Duration grace = stops.of(owner);
+        boolean running =
+            item.state() == Report.State.FETCHING || item.state() == Report.State.RUNNING;
+        boolean cutShort = item.state() == Report.State.SAVING && grace != null && grace.isZero();
+        if (grace != null && (running || cutShort)) {
+          orders.add(Order.stop(item.task(), item.attempt(), grace));
+        }
+      } else if (item.state() != Report.State.EXITED) {
+        // The records give this task to nobody, or to another attempt: nobody may run it here.
+        orders.add(Order.stop(item.task(), item.attempt(), Duration.ZERO));
+      } else if (latest.token() > tokens.base() && machine.settled()) {
+        orders.add(Order.forget(item.task(), item.attempt()));
+      }
+    }
+    for (Ownership.Owned item : owned) {
+      boolean here = item.attempt().session() == latest.session();
+      if (here
+          && item.entry().outcome() == null
+          && stops.of(item) == null
+          && machine.find(item.id(), item.attempt().number()) == null) {
+        orders.add(Order.start(item.id(), item.attempt().number()));
+      }
+    }
+    return orders;
+  }
+
+  private static Ownership.Owned owner(
+      Report.TaskReport item, List<Ownership.Owned> owned, long session) {
+    for (Ownership.Owned candidate : owned) {
+      if (candidate.attempt().number() == item.attempt()
+          && candidate.attempt().session() == session
+          && candidate.id().equals(item.task())) {
+        return candidate;
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/Pusher.java
@@ -0,0 +1,77 @@
+package io.cherryspool.controller;
+
+import io.cherryspool.duty.EventLoop;
+import io.cherryspool.model.Order;
+import io.cherryspool.model.Report;
+import io.cherryspool.worker.WorkerClient;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * Sends committed orders straight to workers, so that a start need not wait for the next report.
+ * One call at a time goes to a machine. A call without an answer may still run later, so the token
+ * is raised at once and the machine counts as unsettled until it has acknowledged the higher one.
+ */
+final class Pusher {
+  private final EventLoop loop;
+  private final WorkerClient workers;
+  private final Tokens tokens;
+  private final Duration pause;
+  private final Consumer<Report> sink;
+
+  Pusher(
+      EventLoop loop, WorkerClient workers, Tokens tokens, Duration pause, Consumer<Report> sink) {
+    this.loop = loop;
+    this.workers = workers;
+    this.tokens = tokens;
+    this.pause = pause;
+    this.sink = sink;
+  }
+
+  void push(MachineState machine, List<Order> orders) {
+    boolean urgent = orders.stream().anyMatch(order -> order.verb() != Order.Verb.FORGET);
+    if (urgent) {
+      send(machine, orders);
+    }
+  }
+
+  /** Makes the worker take the current token, which fences off whoever led before. */
+  void fence(MachineState machine, List<Order> orders) {
+    send(machine, orders);
+  }
+
+  private void send(MachineState machine, List<Order> orders) {
+    if (machine.latest == null
+        || machine.endpoint == null
+        || machine.gone
+        || machine.underWay != 0
+        || loop.now().compareTo(machine.pushAgain) < 0) {
+      return;
+    }
+    long token = tokens.current();
+    machine.underWay = token;
+    noteStarts(machine, orders, token);
+    workers
+        .commands(machine.endpoint, token, machine.latest.session(), orders)
+        .whenComplete(
+            (report, failure) -> {
+              machine.underWay = 0;
+              if (failure == null) {
+                sink.accept(report);
+              } else {
+                machine.unanswered = Math.max(machine.unanswered, token);
+                machine.pushAgain = loop.now().plus(pause);
+                tokens.next();
+              }
+            });
+  }
+
+  static void noteStarts(MachineState machine, List<Order> orders, long token) {
+    for (Order order : orders) {
+      if (order.verb() == Order.Verb.START) {
+        machine.started.put(order, token);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/Rental.java
@@ -0,0 +1,378 @@
+package io.cherryspool.controller;
+
+import io.cherryspool.cloud.CloudClient;
+import io.cherryspool.duty.Duty;
+import io.cherryspool.duty.EventLoop;
+import io.cherryspool.model.MachineType;
+import io.cherryspool.model.Rented;
+import io.cherryspool.scheduler.FleetPlan;
+import io.cherryspool.store.Replica;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The leader's dealings with the cloud: lists, rents and returns machines, one call at a time. */
+final class Rental implements Duty {
+  /** A machine on which so many tasks in a row failed is not used again. */
+  static final int SICK = 3;
+
+  private static final Logger LOG = LoggerFactory.getLogger(Rental.class);
+  private static final int MOST_PER_REQUEST = 50;
+  private static final int MOST_PER_DELETE = 100;
+  private static final Duration SOLD_OUT = Duration.ofSeconds(15);
+
+  private final EventLoop loop;
+  private final CloudClient cloud;
+  private final Fleet fleet;
+  private final Replica replica;
+  private final Rounds rounds;
+  private final Supplier<List<MachineType>> catalog;
+  private final Timings timings;
+  private final Duration gap;
+  private final Duration listLag;
+  private final Duration idleKeep;
+  private final String prefix;
+  private final Runnable listed;
+  private final Map<String, Rented> list = new HashMap<>();
+  private final Map<String, Incoming> incoming = new HashMap<>();
+  private final Map<FleetPlan.Offer, Duration> soldOut = new HashMap<>();
+  private final Set<String> doomed = new LinkedHashSet<>();
+  private Request repeat;
+  private int counter;
+  private boolean busy;
+  private Duration listSince;
+  private EventLoop.Timer timer;
+
+  /** A machine rented in this term that has not reported yet. */
+  private record Incoming(FleetPlan.Offer offer, Duration since) {}
+
+  /** A rental whose answer is not known; it goes again under the same name. */
+  private record Request(String name, FleetPlan.Offer offer, int count) {}
+
+  Rental(
+      EventLoop loop,
+      CloudClient cloud,
+      Fleet fleet,
+      Replica replica,
+      Rounds rounds,
+      Supplier<List<MachineType>> catalog,
+      Timings timings,
+      double cloudRps,
+      Duration listLag,
+      Duration idleKeep,
+      String prefix,
+      Runnable listed) {
+    this.loop = loop;
+    this.cloud = cloud;
+    this.fleet = fleet;
+    this.replica = replica;
+    this.rounds = rounds;
+    this.catalog = catalog;
+    this.timings = timings;
+    this.gap = Duration.ofNanos((long) (1.5e9 / cloudRps));
+    this.listLag = listLag;
+    this.idleKeep = idleKeep;
+    this.prefix = prefix;
+    this.listed = listed;
+  }
+
+  @Override
+  public void start() {
+    step();
+  }
+
+  @Override
+  public void stop() {
+    busy = true;
+    if (timer != null) {
+      timer.cancel();
+      timer = null;
+    }
+  }
+
+  private void step() {
+    timer = loop.schedule(gap, this::step);
+    if (busy) {
+      return;
+    }
+    Duration now = loop.now();
+    if (listSince == null || now.minus(listSince).compareTo(Duration.ofSeconds(3)) > 0) {
+      listSince = now;
+      readList(null, new HashMap<>());
+      return;
+    }
+    if (list.isEmpty() && fleet.all().isEmpty()) {
+      return;
+    }
+    condemn(now);
+    if (!doomed.isEmpty()) {
+      delete();
+    } else if (repeat != null) {
+      rent(repeat);
+    } else {
+      plan(now);
+    }
+  }
+
+  private void readList(String after, Map<String, Rented> found) {
+    busy = true;
+    cloud
+        .list(after)
+        .whenComplete(
+            (page, failure) -> {
+              busy = timer == null;
+              if (failure != null || busy) {
+                LOG.debug("listing machines failed: {}", String.valueOf(failure));
+                return;
+              }
+              page.machines().forEach(item -> found.put(item.name(), item));
+              if (page.more() && !page.machines().isEmpty()) {
+                readList(page.machines().get(page.machines().size() - 1).name(), found);
+              } else {
+                take(found);
+              }
+            });
+  }
+
+  private void take(Map<String, Rented> found) {
+    list.clear();
+    list.putAll(found);
+    Duration now = loop.now();
+    for (Rented item : found.values()) {
+      if (!fleet.isGone(item.name()) && item.status() == Rented.Status.RUNNING) {
+        fleet.add(item.name(), item.address(), item.type(), item.zone(), item.spot(), now);
+      }
+    }
+    listed.run();
+  }
+
+  /** Decides which machines to delete, and only for reasons that hold whatever a late list says. */
+  private void condemn(Duration now) {
+    Ownership ownership = Ownership.of(replica);
+    for (Rented item : list.values()) {
+      if (fleet.isGone(item.name())) {
+        continue;
+      }
+      MachineState machine = fleet.get(item.name());
+      boolean reported = machine != null && machine.heard != null;
+      if (item.status() == Rented.Status.FAILED) {
+        doom(item.name(), "it has failed");
+      } else if (item.status() == Rented.Status.BOOTING
+          && !reported
+          && item.age().compareTo(bootLimit(item.type())) > 0) {
+        doom(item.name(), "it has been booting for " + item.age().toSeconds() + " s");
+      }
+    }
+    Set<String> deafZones = silentZones(now);
+    for (MachineState machine : fleet.all()) {
+      if (machine.gone) {
+        continue;
+      }
+      boolean idle = ownership.on(machine.name).isEmpty();
+      if (!idle) {
+        machine.idleSince = null;
+      } else if (machine.idleSince == null) {
+        machine.idleSince = now;
+      }
+      Duration silent = now.minus(machine.heard == null ? machine.firstSeen : machine.heard);
+      Duration patience = timings.report().multipliedBy(3).plusSeconds(2);
+      if (deafZones.contains(machine.zone)) {
+        patience = timings.lapse().multipliedBy(2);
+      }
+      if (silent.compareTo(patience) > 0 && now.minus(machine.firstSeen).compareTo(patience) > 0) {
+        doom(machine.name, "it has been silent for " + silent.toSeconds() + " s");
+      } else if (machine.failuresInARow >= SICK) {
+        doom(machine.name, "tasks of several tries fail on it");
+      }
+    }
+  }
+
+  /**
+   * Zones of which nothing at all is heard are rather cut off than dead; their machines may be
+   * running their tasks well.
+   */
+  private Set<String> silentZones(Duration now) {
+    Map<String, Integer> heard = new HashMap<>();
+    Map<String, Integer> all = new HashMap<>();
+    Duration limit = timings.report().multipliedBy(2).plusSeconds(1);
+    for (MachineState machine : fleet.all()) {
+      if (!machine.gone) {
+        all.merge(machine.zone, 1, Integer::sum);
+        boolean fresh = machine.heard != null && now.minus(machine.heard).compareTo(limit) < 0;
+        heard.merge(machine.zone, fresh ? 1 : 0, Integer::sum);
+      }
+    }
+    Set<String> result = new LinkedHashSet<>();
+    all.forEach(
+        (zone, count) -> {
+          if (count > 1 && heard.get(zone) * 3 < count) {
+            result.add(zone);
+          }
+        });
+    return result;
+  }
+
+  private Duration bootLimit(String type) {
+    List<MachineType> types = catalog.get();
+    if (types != null) {
+      for (MachineType item : types) {
+        if (item.name().equals(type)) {
+          return item.boot().multipliedBy(3).plus(listLag.multipliedBy(2));
+        }
+      }
+    }
+    return Duration.ofMinutes(5);
+  }
+
+  private void doom(String name, String why) {
+    if (doomed.add(name)) {
+      LOG.info("deleting {}: {}", name, why);
+      MachineState machine = fleet.get(name);
+      if (machine != null) {
+        machine.deleting = true;
+      }
+    }
+  }
+
+  private void delete() {
+    List<String> names = new ArrayList<>(doomed);
+    List<String> batch = names.subList(0, Math.min(names.size(), MOST_PER_DELETE));
+    busy = true;
+    cloud
+        .delete(batch)
+        .whenComplete(
+            (nothing, failure) -> {
+              busy = timer == null;
+              if (failure != null) {
+                LOG.debug("deleting failed, it goes again: {}", failure.toString());
+                return;
+              }
+              Duration now = loop.now();
+              for (String name : batch) {
+                doomed.remove(name);
+                incoming.remove(name);
+                fleet.markGone(fleet.add(name, null, "", "", false, now));
+              }
+              rounds.request();
+            });
+  }
+
+  private void plan(Duration now) {
+    if (catalog.get() == null || listSince == null) {
+      return;
+    }
+    soldOut.values().removeIf(at -> now.minus(at).compareTo(SOLD_OUT) > 0);
+    fleet.prune(Ownership.of(replica));
+    FleetPlan.View view =
+        new FleetPlan.View(
+            rounds.unplaced(), coming(), idle(now), catalog.get(), soldOut.keySet(), idleKeep);
+    Map<FleetPlan.Offer, Integer> rentals = FleetPlan.rentals(view);
+    if (!rentals.isEmpty()) {
+      Map.Entry<FleetPlan.Offer, Integer> first = rentals.entrySet().iterator().next();
+      counter++;
+      rent(
+          new Request(
+              prefix + counter, first.getKey(), Math.min(first.getValue(), MOST_PER_REQUEST)));
+    } else {
+      FleetPlan.returns(view).forEach(name -> doom(name, "it has been idle"));
+    }
+  }
+
+  /** Machines on their way: rented in this term and not heard yet, or listed as booting. */
+  private List<FleetPlan.Offer> coming() {
+    Map<String, MachineType> types = new HashMap<>();
+    catalog.get().forEach(type -> types.put(type.name(), type));
+    Duration now = loop.now();
+    incoming
+        .entrySet()
+        .removeIf(
+            entry -> {
+              MachineState machine = fleet.get(entry.getKey());
+              boolean reported = machine != null && machine.heard != null;
+              boolean lost =
+                  !list.containsKey(entry.getKey())
+                      && now.minus(entry.getValue().since).compareTo(listLag.multipliedBy(4)) > 0;
+              return reported || lost || fleet.isGone(entry.getKey());
+            });
+    List<FleetPlan.Offer> result = new ArrayList<>();
+    incoming.values().forEach(item -> result.add(item.offer));
+    for (Rented item : list.values()) {
+      MachineState machine = fleet.get(item.name());
+      boolean reported = machine != null && machine.heard != null;
+      if (item.status() == Rented.Status.BOOTING
+          && !reported
+          && !incoming.containsKey(item.name())
+          && !fleet.isGone(item.name())
+          && types.containsKey(item.type())) {
+        result.add(new FleetPlan.Offer(types.get(item.type()), item.zone(), item.spot()));
+      }
+    }
+    return result;
+  }
+
+  private List<FleetPlan.Idle> idle(Duration now) {
+    List<FleetPlan.Idle> result = new ArrayList<>();
+    for (MachineState machine : fleet.all()) {
+      if (!machine.gone && !machine.deleting && machine.idleSince != null) {
+        result.add(new FleetPlan.Idle(machine.name, now.minus(machine.idleSince)));
+      }
+    }
+    return result;
+  }
+
+  private void rent(Request request) {
+    busy = true;
+    repeat = request;
+    FleetPlan.Offer offer = request.offer;
+    cloud
+        .rent(request.name, offer.type().name(), offer.zone(), offer.spot(), request.count)
+        .whenComplete(
+            (names, failure) -> {
+              busy = timer == null;
+              if (failure == null) {
+                repeat = null;
+                rented(request, names);
+              } else if (cause(failure) instanceof CloudClient.Refused refused
+                  && refused.noCapacity()) {
+                repeat = null;
+                soldOut.put(offer, loop.now());
+                LOG.info(
+                    "no capacity for {} in {}, spot {}",
+                    offer.type().name(),
+                    offer.zone(),
+                    offer.spot());
+              }
+            });
+  }
+
+  private void rented(Request request, List<String> names) {
+    FleetPlan.Offer offer = request.offer;
+    LOG.info(
+        "rented {} of {} {} in {}, spot {}, as {}",
+        names.size(),
+        request.count,
+        offer.type().name(),
+        offer.zone(),
+        offer.spot(),
+        request.name);
+    Duration now = loop.now();
+    names.forEach(name -> incoming.put(name, new Incoming(offer, now)));
+    if (names.size() < request.count) {
+      soldOut.put(offer, now);
+    }
+  }
+
+  private static Throwable cause(Throwable failure) {
+    return failure instanceof CompletionException && failure.getCause() != null
+        ? failure.getCause()
+        : failure;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/RoundWriter.java
@@ -0,0 +1,144 @@
+package io.cherryspool.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.cherryspool.duty.EventLoop;
+import io.cherryspool.store.Budget;
+import io.cherryspool.store.Records;
+import io.cherryspool.store.StateClient;
+import io.cherryspool.store.StateException;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.StateWire;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Commits a round in a few transactions, each conditional on the leader's term. A transaction
+ * without an answer is sent again until there is one: with the same conditions it can be applied
+ * only once, whichever copy comes first, so nothing of the round is left open behind it.
+ */
+final class RoundWriter {
+  private static final Logger LOG = LoggerFactory.getLogger(RoundWriter.class);
+  private static final int MAX_BYTES = 56_000;
+  private static final int CHANGE_OVERHEAD = 300;
+  private static final Duration AGAIN = Duration.ofMillis(300);
+
+  private final EventLoop loop;
+  private final StateClient client;
+  private final Budget budget;
+  private final int maxChanges;
+  private final long termVersion;
+  private boolean stopped;
+
+  /** Changes that are committed together or not at all. */
+  record Unit(Map<String, Long> conditions, List<StateWire.Change> changes) {}
+
+  RoundWriter(EventLoop loop, StateClient client, Budget budget, int maxChanges, long termVersion) {
+    this.loop = loop;
+    this.client = client;
+    this.budget = budget;
+    this.maxChanges = maxChanges;
+    this.termVersion = termVersion;
+  }
+
+  void stop() {
+    stopped = true;
+  }
+
+  /**
+   * Sends as many units as the budget allows, in order. Returns how many; {@code done} runs when
+   * all of their outcomes are certain, and not at all when none was sent.
+   */
+  int write(List<Unit> units, Runnable done) {
+    List<Unit> batch = new ArrayList<>();
+    List<List<Unit>> transactions = new ArrayList<>();
+    int limit = Math.min(maxChanges, budget.largest(Budget.Use.ROUND));
+    int changes = 0;
+    int bytes = 0;
+    int taken = 0;
+    for (Unit unit : units) {
+      int size = bytes(unit);
+      boolean full = changes + unit.changes.size() > limit || bytes + size > MAX_BYTES;
+      if (full && !batch.isEmpty()) {
+        if (!budget.takeWrites(Budget.Use.ROUND, changes)) {
+          batch = List.of();
+          break;
+        }
+        transactions.add(batch);
+        taken += batch.size();
+        batch = new ArrayList<>();
+        changes = 0;
+        bytes = 0;
+      }
+      batch.add(unit);
+      changes += unit.changes.size();
+      bytes += size;
+    }
+    if (!batch.isEmpty() && budget.takeWrites(Budget.Use.ROUND, changes)) {
+      transactions.add(batch);
+      taken += batch.size();
+    }
+    int[] open = {transactions.size()};
+    for (List<Unit> transaction : transactions) {
+      Map<String, Long> conditions = new LinkedHashMap<>();
+      List<StateWire.Change> all = new ArrayList<>();
+      conditions.put(Records.TERM, termVersion);
+      for (Unit unit : transaction) {
+        conditions.putAll(unit.conditions);
+        all.addAll(unit.changes);
+      }
+      send(
+          conditions,
+          all,
+          () -> {
+            if (--open[0] == 0 && !stopped) {
+              done.run();
+            }
+          });
+    }
+    return taken;
+  }
+
+  private void send(
+      Map<String, Long> conditions, List<StateWire.Change> changes, Runnable certain) {
+    if (stopped) {
+      return;
+    }
+    client
+        .commit(conditions, changes)
+        .whenComplete(
+            (result, failure) -> {
+              StateException.Kind kind = failure == null ? null : StateException.kindOf(failure);
+              if (kind == StateException.Kind.UNKNOWN) {
+                loop.schedule(
+                    AGAIN,
+                    () -> {
+                      budget.force(changes.size());
+                      send(conditions, changes, certain);
+                    });
+                return;
+              }
+              if (kind == StateException.Kind.REFUSED) {
+                budget.drain();
+              } else if (kind != null) {
+                LOG.error("the state service rejects a round: {}", failure.toString());
+              } else if (!result.applied()) {
+                LOG.debug("a round's transaction was overtaken: {}", result.failed());
+              }
+              certain.run();
+            });
+  }
+
+  private static int bytes(Unit unit) {
+    int sum = 0;
+    for (StateWire.Change change : unit.changes) {
+      JsonNode value = change.value();
+      sum += CHANGE_OVERHEAD + (value == null ? 0 : Json.bytes(value).length);
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/Timings.java
@@ -0,0 +1,46 @@
+package io.cherryspool.controller;
+
+import io.cherryspool.config.OperatorSettings;
+import io.cherryspool.config.Settings;
+import java.time.Duration;
+
+/**
+ * The times that the safety of ownership rests on, from the settings.
+ *
+ * @param authority how long after sending its last confirmed renewal a leader may keep workers
+ *     alive. A task on a machine that only a cut-off leader still hears must be gone within the
+ *     cancel limit, so authority, worker lease and margin together stay below it.
+ * @param lapse how long after a worker was last kept alive its tasks are surely gone
+ * @param margin for clock drift between two machines and messages late within their deadlines
+ */
+public record Timings(
+    Duration report,
+    Duration authority,
+    Duration lapse,
+    Duration margin,
+    Duration stateLease,
+    Duration stateCall,
+    Duration workerCall,
+    Duration cloudCall) {
+
+  public static Timings of(Settings settings, OperatorSettings operators) {
+    Duration lease = settings.workerLease();
+    Duration margin = settings.cancelWithin().dividedBy(20).plusSeconds(1);
+    Duration authority = settings.cancelWithin().minus(lease).minus(margin.multipliedBy(2));
+    if (authority.compareTo(operators.stateLease()) < 0) {
+      authority = operators.stateLease();
+    }
+    Duration call = operators.stateLease().dividedBy(4);
+    return new Timings(
+        settings.report(),
+        authority,
+        lease.plus(lease.dividedBy(500)).plusMillis(500),
+        margin,
+        operators.stateLease(),
+        call,
+        settings.report().compareTo(Duration.ofSeconds(2)) < 0
+            ? settings.report()
+            : Duration.ofSeconds(2),
+        Duration.ofSeconds(5));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/Tokens.java
@@ -0,0 +1,27 @@
+package io.cherryspool.controller;
+
+import io.cherryspool.model.Token;
+
+/** The tokens of one term. Only the leader of the term makes them, and they only grow. */
+final class Tokens {
+  private final long term;
+  private long round = 1;
+
+  Tokens(long term) {
+    this.term = term;
+  }
+
+  /** Below every token of this term, and above every token of earlier ones. */
+  long base() {
+    return Token.of(term, 0);
+  }
+
+  long current() {
+    return Token.of(term, round);
+  }
+
+  /** Starts the next round. Messages of earlier rounds then no longer count at the workers. */
+  void next() {
+    round++;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/http/Endpoint.java
@@ -0,0 +1,28 @@
+package io.cherryspool.http;
+
+/** A TCP address; hosts are IP numbers, since the machines have no name service. */
+public record Endpoint(String host, int port) {
+
+  /** Reads {@code host:port}. */
+  public static Endpoint parse(String text) {
+    int colon = text.lastIndexOf(':');
+    if (colon <= 0) {
+      throw new IllegalArgumentException("not host:port: " + text);
+    }
+    int port;
+    try {
+      port = Integer.parseInt(text.substring(colon + 1));
+    } catch (NumberFormatException e) {
+      throw new IllegalArgumentException("not host:port: " + text, e);
+    }
+    if (port < 1 || port > 65_535) {
+      throw new IllegalArgumentException("port out of range: " + text);
+    }
+    return new Endpoint(text.substring(0, colon), port);
+  }
+
+  @Override
+  public String toString() {
+    return host + ":" + port;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/http/Handler.java
@@ -0,0 +1,9 @@
+package io.cherryspool.http;
+
+import java.util.concurrent.CompletableFuture;
+
+/** Answers requests. The future completes on the event loop. */
+@FunctionalInterface
+public interface Handler {
+  CompletableFuture<Reply> handle(Request request);
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/mesh/NettyMesh.java
@@ -0,0 +1,173 @@
+package io.cherryspool.mesh;
+
+import io.cherryspool.duty.Duty;
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.http.NettyLoop;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Words between the nodes, as MessagePack arrays in length-prefixed frames. Each node keeps one
+ * connection to each other for what it says itself. A word that can't go out now is dropped, since
+ * the next one says more.
+ */
+public final class NettyMesh implements Mesh, Duty {
+  private static final Logger LOG = LoggerFactory.getLogger(NettyMesh.class);
+  private static final int MAX_FRAME = 4096;
+  private static final int FIELDS = 3;
+  private static final int CONNECT_MS = 1000;
+  private static final int QUIET_S = 30;
+  private static final int MAX_UNSENT = 16 * 1024;
+
+  private final NettyLoop loop;
+  private final List<Endpoint> peers;
+  private final Consumer<Word> sink;
+  private final Map<Endpoint, Channel> links = new HashMap<>();
+  private Channel listener;
+  private boolean stopped;
+
+  public NettyMesh(NettyLoop loop, List<Endpoint> peers, Consumer<Word> sink) {
+    this.loop = loop;
+    this.peers = peers;
+    this.sink = sink;
+  }
+
+  /** Binds, waiting for the outcome; called once, from outside the loop. */
+  public void bind(Endpoint at) throws InterruptedException {
+    listener =
+        new ServerBootstrap()
+            .group(loop.group())
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(new ReadTimeoutHandler(QUIET_S))
+                        .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME, 0, 4, 0, 4))
+                        .addLast(new Inbound());
+                  }
+                })
+            .bind(new InetSocketAddress(at.host(), at.port()))
+            .sync()
+            .channel();
+  }
+
+  @Override
+  public void start() {
+    stopped = false;
+  }
+
+  @Override
+  public void stop() {
+    stopped = true;
+    links.values().forEach(Channel::close);
+    links.clear();
+    if (listener != null) {
+      listener.close();
+    }
+  }
+
+  @Override
+  public void tell(Word word) {
+    if (stopped) {
+      return;
+    }
+    byte[] frame = encode(word);
+    for (Endpoint peer : peers) {
+      Channel link = links.get(peer);
+      if (link == null) {
+        connect(peer);
+      } else if (link.isActive()) {
+        if (link.unsafe().outboundBuffer() != null
+            && link.unsafe().outboundBuffer().totalPendingWriteBytes() > MAX_UNSENT) {
+          link.close();
+        } else {
+          link.writeAndFlush(Unpooled.wrappedBuffer(frame));
+        }
+      }
+    }
+  }
+
+  private void connect(Endpoint peer) {
+    Channel channel =
+        new Bootstrap()
+            .group(loop.group())
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+            .handler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel created) {
+                    created.pipeline().addLast(new LengthFieldPrepender(4));
+                  }
+                })
+            .connect(new InetSocketAddress(peer.host(), peer.port()))
+            .channel();
+    links.put(peer, channel);
+    channel.closeFuture().addListener(closed -> links.remove(peer, channel));
+  }
+
+  static byte[] encode(Word word) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packArrayHeader(FIELDS);
+      packer.packString(word.node());
+      packer.packLong(word.term());
+      packer.packBoolean(word.state());
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("packing into memory", e);
+    }
+  }
+
+  /** Reads a word; fields that a later version adds are ignored. */
+  static Word decode(byte[] frame) throws IOException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(frame)) {
+      if (unpacker.unpackArrayHeader() < FIELDS) {
+        throw new IOException("a word that is too short");
+      }
+      return new Word(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackBoolean());
+    }
+  }
+
+  /** The routine of one connection from another node. */
+  private final class Inbound extends SimpleChannelInboundHandler<ByteBuf> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) throws IOException {
+      sink.accept(decode(ByteBufUtil.getBytes(frame)));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      LOG.debug("a node's connection is dropped: {}", cause.toString());
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/model/MachineType.java
@@ -0,0 +1,15 @@
+package io.cherryspool.model;
+
+import java.time.Duration;
+import java.util.List;
+
+/** A type of machine that the cloud rents. */
+public record MachineType(
+    String name,
+    Resources size,
+    double cacheGb,
+    double fetchGbPerS,
+    double price,
+    double spotPrice,
+    Duration boot,
+    List<String> zones) {}
--- /dev/null
+++ b/src/main/java/io/cherryspool/model/Rented.java
@@ -0,0 +1,21 @@
+package io.cherryspool.model;
+
+import java.time.Duration;
+
+/** A machine as the cloud's list tells it, some time late. */
+public record Rented(
+    String name,
+    String address,
+    String type,
+    String zone,
+    boolean spot,
+    Status status,
+    Duration age) {
+
+  /** What the cloud says of the machine. */
+  public enum Status {
+    BOOTING,
+    RUNNING,
+    FAILED
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/model/Report.java
@@ -0,0 +1,43 @@
+package io.cherryspool.model;
+
+import java.time.Duration;
+import java.util.List;
+
+/** What a worker says of itself. The one with the larger (session, sequence) is the newer. */
+public record Report(
+    String machine,
+    String address,
+    String type,
+    String zone,
+    boolean spot,
+    long session,
+    long sequence,
+    long token,
+    Duration notice,
+    List<TaskReport> tasks) {
+
+  /** Where a task stands on its machine. */
+  public enum State {
+    FETCHING,
+    RUNNING,
+    SAVING,
+    EXITED
+  }
+
+  /** Why a task exited. */
+  public enum Cause {
+    DONE,
+    STOPPED,
+    ERROR,
+    NO_ROOM,
+    BUSY,
+    UNKNOWN_JOB
+  }
+
+  /** One task on the machine; {@code cause} is null until it has exited. */
+  public record TaskReport(TaskId task, int attempt, State state, Cause cause) {}
+
+  public boolean newerThan(Report other) {
+    return session > other.session || session == other.session && sequence > other.sequence;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/model/Resources.java
@@ -0,0 +1,27 @@
+package io.cherryspool.model;
+
+/** What a task takes of a machine, or what a machine has. */
+public record Resources(double cpus, double gpus, double memoryGb) {
+  public static final Resources NONE = new Resources(0, 0, 0);
+
+  /** Decimal amounts are summed in floating point; this much is rounding, not demand. */
+  private static final double EPSILON = 1e-6;
+
+  public Resources plus(Resources other) {
+    return new Resources(cpus + other.cpus, gpus + other.gpus, memoryGb + other.memoryGb);
+  }
+
+  public Resources minus(Resources other) {
+    return new Resources(cpus - other.cpus, gpus - other.gpus, memoryGb - other.memoryGb);
+  }
+
+  public Resources times(int count) {
+    return new Resources(cpus * count, gpus * count, memoryGb * count);
+  }
+
+  public boolean fitsIn(Resources room) {
+    return cpus <= room.cpus + EPSILON
+        && gpus <= room.gpus + EPSILON
+        && memoryGb <= room.memoryGb + EPSILON;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/scheduler/ClusterView.java
@@ -0,0 +1,48 @@
+package io.cherryspool.scheduler;
+
+import io.cherryspool.model.Job;
+import io.cherryspool.model.MachineType;
+import io.cherryspool.model.Resources;
+import io.cherryspool.model.TaskId;
+import io.cherryspool.model.Team;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** All that a round is planned from. Plain values, so that the same view gives the same plan. */
+public record ClusterView(
+    Instant now,
+    List<JobView> jobs,
+    List<MachineView> machines,
+    Map<String, Team> teams,
+    Map<String, Resources> teamUse,
+    List<MachineType> catalog) {
+
+  /**
+   * A job with its free tasks. {@code held} counts those that the failure cap keeps back; they are
+   * not among {@code free}. {@code perZone} counts the owned tasks by zone.
+   */
+  public record JobView(Job job, List<FreeTask> free, Map<String, Integer> perZone, int held) {}
+
+  /**
+   * A task without an owner; {@code lapsed} is when its last attempt ended, null for a first one.
+   */
+  public record FreeTask(int number, int attempts, int failures, Duration lapsed) {}
+
+  /** A machine; {@code free} is what its owned tasks, saving and unreachable ones too, leave. */
+  public record MachineView(
+      String name,
+      MachineType type,
+      String zone,
+      boolean spot,
+      boolean usable,
+      Resources free,
+      Set<String> images,
+      Set<String> shunnedBy,
+      List<RunningTask> running) {}
+
+  /** An owned task as far as stopping it is concerned. */
+  public record RunningTask(TaskId task, Job job, Duration runFor, boolean stopping) {}
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/scheduler/Rules.java
@@ -0,0 +1,32 @@
+package io.cherryspool.scheduler;
+
+import io.cherryspool.model.Job;
+import io.cherryspool.model.MachineType;
+import io.cherryspool.model.Resources;
+import io.cherryspool.model.Team;
+import java.util.Collection;
+
+/** What a job's description allows, whatever the moment. */
+public final class Rules {
+  private Rules() {}
+
+  public static boolean allows(Job job, MachineType type, String zone, boolean spot) {
+    return job.allowsType(type) && job.allowsZone(zone) && (job.spotAllowed() || !spot);
+  }
+
+  /** Why the job can never run, or null if it can. */
+  public static String impossible(Job job, Team team, Collection<MachineType> catalog) {
+    if (team == null) {
+      return "unknown team " + job.team();
+    }
+    if (!team.allows(Resources.NONE.plus(job.perTask()))) {
+      return "a task needs more than the limit of team " + job.team();
+    }
+    for (MachineType type : catalog) {
+      if (job.allowsType(type) && (job.zone() == null || type.zones().contains(job.zone()))) {
+        return null;
+      }
+    }
+    return "a task fits no allowed machine type";
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/store/GroupCommit.java
@@ -0,0 +1,167 @@
+package io.cherryspool.store;
+
+import io.cherryspool.duty.EventLoop;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.StateWire;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Puts the single changes that users' requests make into shared transactions, within the write
+ * budget. A change that can't be taken is refused at once, so that its user can be told when to
+ * come back.
+ */
+public final class GroupCommit {
+  private static final int MAX_BYTES = 60_000;
+  private static final Duration PAUSE = Duration.ofMillis(20);
+
+  private final EventLoop loop;
+  private final StateClient client;
+  private final Budget budget;
+  private final int maxChanges;
+  private final int maxQueue;
+  private final Duration patience;
+  private final Deque<Item> cancels = new ArrayDeque<>();
+  private final Deque<Item> submissions = new ArrayDeque<>();
+  private boolean busy;
+  private EventLoop.Timer timer;
+
+  /** One user's change. */
+  private record Item(
+      Map<String, Long> conditions,
+      StateWire.Change change,
+      int bytes,
+      Duration since,
+      CompletableFuture<Boolean> result) {}
+
+  public GroupCommit(
+      EventLoop loop,
+      StateClient client,
+      Budget budget,
+      int maxChanges,
+      int maxQueue,
+      Duration patience) {
+    this.loop = loop;
+    this.client = client;
+    this.budget = budget;
+    this.maxChanges = maxChanges;
+    this.maxQueue = maxQueue;
+    this.patience = patience;
+  }
+
+  /** Completes with whether the change was applied, false if a condition failed. */
+  public CompletableFuture<Boolean> submit(
+      Budget.Use use, Map<String, Long> conditions, StateWire.Change change) {
+    CompletableFuture<Boolean> result = new CompletableFuture<>();
+    Deque<Item> queue = use == Budget.Use.CANCEL ? cancels : submissions;
+    if (queue.size() >= maxQueue) {
+      result.completeExceptionally(refused("too many changes wait"));
+      return result;
+    }
+    int bytes = Json.bytes(change.value()).length + 3 * change.key().length() + 100;
+    queue.add(new Item(conditions, change, bytes, loop.now(), result));
+    pump();
+    return result;
+  }
+
+  private void pump() {
+    if (busy || timer != null) {
+      return;
+    }
+    expire(cancels);
+    expire(submissions);
+    Deque<Item> queue = cancels.isEmpty() ? submissions : cancels;
+    if (queue.isEmpty()) {
+      return;
+    }
+    Budget.Use use = queue == cancels ? Budget.Use.CANCEL : Budget.Use.SUBMIT;
+    List<Item> batch = new ArrayList<>();
+    int bytes = 0;
+    int limit = Math.min(maxChanges, budget.largest(use));
+    for (Item item : queue) {
+      if (batch.size() == limit || !batch.isEmpty() && bytes + item.bytes > MAX_BYTES) {
+        break;
+      }
+      batch.add(item);
+      bytes += item.bytes;
+    }
+    while (!batch.isEmpty() && !budget.takeWrites(use, batch.size())) {
+      batch.remove(batch.size() - 1);
+    }
+    if (batch.isEmpty()) {
+      timer = loop.schedule(PAUSE, this::resume);
+      return;
+    }
+    batch.forEach(item -> queue.removeFirst());
+    send(queue, batch);
+  }
+
+  private void resume() {
+    timer = null;
+    pump();
+  }
+
+  private void send(Deque<Item> queue, List<Item> batch) {
+    busy = true;
+    Map<String, Long> conditions = new HashMap<>();
+    List<StateWire.Change> changes = new ArrayList<>();
+    List<Item> twins = new ArrayList<>();
+    for (Item item : batch) {
+      if (conditions.keySet().containsAll(item.conditions.keySet())) {
+        twins.add(item);
+      } else {
+        conditions.putAll(item.conditions);
+        changes.add(item.change);
+      }
+    }
+    batch.removeAll(twins);
+    twins.forEach(queue::addFirst);
+    client
+        .commit(conditions, changes)
+        .whenComplete(
+            (outcome, failure) -> {
+              busy = false;
+              if (failure != null) {
+                if (StateException.kindOf(failure) == StateException.Kind.REFUSED) {
+                  budget.drain();
+                }
+                batch.forEach(item -> item.result.completeExceptionally(failure));
+              } else if (outcome.applied()) {
+                batch.forEach(item -> item.result.complete(true));
+              } else {
+                retryOthers(queue, batch, outcome);
+              }
+              pump();
+            });
+  }
+
+  /** One failed condition fails the whole transaction; the others go again without it. */
+  private static void retryOthers(
+      Deque<Item> queue, List<Item> batch, StateClient.CommitResult outcome) {
+    for (int i = batch.size() - 1; i >= 0; i--) {
+      Item item = batch.get(i);
+      if (item.conditions.keySet().stream().anyMatch(outcome.failed()::contains)) {
+        item.result.complete(false);
+      } else {
+        queue.addFirst(item);
+      }
+    }
+  }
+
+  private void expire(Deque<Item> queue) {
+    Duration limit = loop.now().minus(patience);
+    while (!queue.isEmpty() && queue.peekFirst().since.compareTo(limit) < 0) {
+      queue.removeFirst().result.completeExceptionally(refused("the write budget is spent"));
+    }
+  }
+
+  private static StateException refused(String why) {
+    return new StateException(StateException.Kind.REFUSED, why);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/store/JobEntry.java
@@ -0,0 +1,98 @@
+package io.cherryspool.store;
+
+import io.cherryspool.model.Job;
+import io.cherryspool.model.Outcome;
+import io.cherryspool.model.Shard;
+import it.unimi.dsi.fastutil.ints.Int2ObjectAVLTreeMap;
+import it.unimi.dsi.fastutil.ints.Int2ObjectSortedMap;
+import it.unimi.dsi.fastutil.ints.Int2ObjectSortedMaps;
+
+/** A job with its committed progress. Only the replica changes it; everyone else reads. */
+public final class JobEntry {
+
+  /** A progress record and the version that the next change of it must name. */
+  public record Versioned(Shard shard, long version) {
+    static final Versioned ABSENT = new Versioned(Shard.EMPTY, 0);
+  }
+
+  private final Job job;
+  private final int tasksPerShard;
+  private final Int2ObjectSortedMap<Versioned> shards = new Int2ObjectAVLTreeMap<>();
+  private Outcome outcome;
+
+  JobEntry(Job job, int tasksPerShard) {
+    this.job = job;
+    this.tasksPerShard = tasksPerShard;
+  }
+
+  public Job job() {
+    return job;
+  }
+
+  /** How the job ended, or null while it has not. */
+  public Outcome outcome() {
+    return outcome;
+  }
+
+  public int tasksPerShard() {
+    return tasksPerShard;
+  }
+
+  public int shardCount() {
+    return (job.tasks() + tasksPerShard - 1) / tasksPerShard;
+  }
+
+  public int shardOf(int task) {
+    return task / tasksPerShard;
+  }
+
+  /** The first task of a shard. */
+  public int firstTask(int shard) {
+    return shard * tasksPerShard;
+  }
+
+  /** The task after the last one of a shard. */
+  public int endTask(int shard) {
+    return Math.min(job.tasks(), (shard + 1) * tasksPerShard);
+  }
+
+  public Versioned shard(int index) {
+    return shards.getOrDefault(index, Versioned.ABSENT);
+  }
+
+  /** The shards that have a record. */
+  public Int2ObjectSortedMap<Versioned> shards() {
+    return Int2ObjectSortedMaps.unmodifiable(shards);
+  }
+
+  public int doneCount() {
+    if (outcome == Outcome.DONE) {
+      return job.tasks();
+    }
+    int count = 0;
+    for (Versioned item : shards.values()) {
+      count += item.shard().doneCount();
+    }
+    return count;
+  }
+
+  public int ownedCount() {
+    int count = 0;
+    for (Versioned item : shards.values()) {
+      count += item.shard().owned().size();
+    }
+    return count;
+  }
+
+  void setOutcome(Outcome value) {
+    outcome = value;
+  }
+
+  void setShard(int index, Versioned value) {
+    if (value == null) {
+      shards.remove(index);
+    } else {
+      shards.put(index, value);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/store/Records.java
@@ -0,0 +1,152 @@
+package io.cherryspool.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.cherryspool.model.Attempt;
+import io.cherryspool.model.Job;
+import io.cherryspool.model.Outcome;
+import io.cherryspool.model.Shard;
+import io.cherryspool.wire.JobWire;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.WireException;
+import java.time.Instant;
+
+/** The keys and values under which the service keeps its state. */
+public final class Records {
+  public static final String PREFIX = "c/";
+  public static final String TERM = "c/term";
+  public static final String LEADER = "c/leader";
+  public static final String CATALOG = "c/catalog";
+  static final String JOBS = "c/jobs/";
+  static final String OUTCOMES = "c/outcomes/";
+  static final String PROGRESS = "c/progress/";
+
+  /** An owned task with its history takes about this much, with the longest machine names seen. */
+  private static final int BYTES_PER_TASK = 80;
+
+  private Records() {}
+
+  /** Who leads: the process, not only the node, since a restarted node is another process. */
+  public record Leader(long term, String node, String instance, long lease) {}
+
+  public static String job(String id) {
+    return JOBS + id;
+  }
+
+  public static String outcome(String id) {
+    return OUTCOMES + id;
+  }
+
+  public static String progress(String id, int shard) {
+    return PROGRESS + id + "/" + shard;
+  }
+
+  /** How many tasks one progress record may cover within the service's limit on a value. */
+  public static int tasksPerShard(int valueBytes) {
+    return Math.max(1, valueBytes / BYTES_PER_TASK);
+  }
+
+  public static JsonNode term(long term) {
+    return Json.object().put("term", term);
+  }
+
+  static long readTerm(JsonNode node) {
+    return node.path("term").longValue();
+  }
+
+  public static JsonNode leader(Leader leader) {
+    return Json.object()
+        .put("term", leader.term())
+        .put("node", leader.node())
+        .put("instance", leader.instance())
+        .put("lease", leader.lease());
+  }
+
+  static Leader readLeader(JsonNode node) {
+    return new Leader(
+        node.path("term").longValue(),
+        node.path("node").asText(),
+        node.path("instance").asText(),
+        node.path("lease").longValue());
+  }
+
+  public static JsonNode job(Job job, int tasksPerShard) {
+    ObjectNode node = Json.object();
+    node.set("job", JobWire.encode(job));
+    node.put("at", job.submitted().toEpochMilli());
+    node.put("per", tasksPerShard);
+    return node;
+  }
+
+  static Job readJob(JsonNode node) throws WireException {
+    return JobWire.parse(node.path("job"), Instant.ofEpochMilli(node.path("at").longValue()));
+  }
+
+  static int readTasksPerShard(JsonNode node) {
+    return Math.max(1, node.path("per").intValue());
+  }
+
+  public static JsonNode outcome(Outcome outcome) {
+    return Json.object().put("end", outcome == Outcome.DONE ? "done" : "cancelled");
+  }
+
+  static Outcome readOutcome(JsonNode node) {
+    return "done".equals(node.path("end").asText()) ? Outcome.DONE : Outcome.CANCELLED;
+  }
+
+  public static JsonNode shard(Shard shard) {
+    ObjectNode node = Json.object();
+    ArrayNode done = node.putArray("done");
+    for (int first = shard.nextDone(0); first >= 0; ) {
+      int end = shard.nextUndone(first);
+      done.add(first).add(end - 1);
+      first = shard.nextDone(end);
+    }
+    ArrayNode owned = node.putArray("owned");
+    for (Attempt attempt : shard.owned().values()) {
+      owned
+          .addArray()
+          .add(attempt.task())
+          .add(attempt.machine())
+          .add(attempt.session())
+          .add(attempt.number())
+          .add(attempt.token());
+    }
+    ArrayNode history = node.putArray("past");
+    shard
+        .histories()
+        .int2ObjectEntrySet()
+        .forEach(
+            entry ->
+                history
+                    .addArray()
+                    .add(entry.getIntKey())
+                    .add(entry.getValue().attempts())
+                    .add(entry.getValue().failures()));
+    return node;
+  }
+
+  static Shard readShard(JsonNode node) {
+    Shard.Editor editor = Shard.EMPTY.edit();
+    JsonNode done = node.path("done");
+    for (int i = 0; i + 1 < done.size(); i += 2) {
+      editor.doneRange(done.get(i).intValue(), done.get(i + 1).intValue());
+    }
+    for (JsonNode item : node.path("owned")) {
+      editor.own(
+          new Attempt(
+              item.path(0).intValue(),
+              item.path(1).asText(),
+              item.path(2).longValue(),
+              item.path(3).intValue(),
+              item.path(4).longValue()));
+    }
+    for (JsonNode item : node.path("past")) {
+      editor.history(
+          item.path(0).intValue(),
+          new Shard.History(item.path(1).intValue(), item.path(2).intValue()));
+    }
+    return editor.build();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/store/Replica.java
@@ -0,0 +1,419 @@
+package io.cherryspool.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.cherryspool.duty.Duty;
+import io.cherryspool.duty.EventLoop;
+import io.cherryspool.model.MachineType;
+import io.cherryspool.wire.CloudWire;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.StateWire;
+import io.cherryspool.wire.WireException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * This node's copy of the state, always some prefix of its history. A watch keeps it near the end;
+ * {@link #refresh} brings it to a moment after the call, which is what an answer that must not be
+ * old needs. Requests that wait at the same time share one reading.
+ */
+public final class Replica implements Duty {
+  private static final Logger LOG = LoggerFactory.getLogger(Replica.class);
+  private static final Duration WATCH = Duration.ofSeconds(10);
+  private static final Duration RETRY = Duration.ofMillis(300);
+
+  /** A watch that returned is opened again after this, so that a busy time costs few requests. */
+  private static final Duration WATCH_GAP = Duration.ofMillis(100);
+
+  private final EventLoop loop;
+  private final StateClient client;
+  private final Budget budget;
+  private final Duration refreshGap;
+  private final Duration slow;
+  private final List<Runnable> listeners = new ArrayList<>();
+
+  private final Map<String, JobEntry> jobs = new HashMap<>();
+  private final Map<String, JobEntry> active = new HashMap<>();
+  private long term;
+  private long termVersion;
+  private Records.Leader leader;
+  private List<MachineType> catalog;
+  private long catalogVersion;
+
+  private boolean running;
+  private boolean loaded;
+  private boolean loading;
+  private long revision;
+  private Duration confirmed;
+  private List<CompletableFuture<Void>> waiting = new ArrayList<>();
+  private Duration readingSince;
+  private Duration lastReading;
+  private EventLoop.Timer readTimer;
+  private EventLoop.Timer watchTimer;
+
+  public Replica(
+      EventLoop loop, StateClient client, Budget budget, Duration refreshGap, Duration slow) {
+    this.loop = loop;
+    this.client = client;
+    this.budget = budget;
+    this.refreshGap = refreshGap;
+    this.slow = slow;
+    this.lastReading = loop.now().minus(refreshGap);
+  }
+
+  /** Called after each batch of changes. */
+  public void onChange(Runnable listener) {
+    listeners.add(listener);
+  }
+
+  @Override
+  public void start() {
+    running = true;
+    load();
+  }
+
+  @Override
+  public void stop() {
+    running = false;
+    cancel(readTimer);
+    cancel(watchTimer);
+    failWaiting("stopped");
+  }
+
+  public boolean loaded() {
+    return loaded;
+  }
+
+  /** When the last reading that succeeded was sent; null before the first. */
+  public Duration confirmed() {
+    return confirmed;
+  }
+
+  /** The jobs with anything left to do: not ended, or with progress records still kept. */
+  public Collection<JobEntry> active() {
+    return Collections.unmodifiableCollection(active.values());
+  }
+
+  /** How many jobs were ever accepted. */
+  public int jobCount() {
+    return jobs.size();
+  }
+
+  /** The job, or null. */
+  public JobEntry job(String id) {
+    return jobs.get(id);
+  }
+
+  public long term() {
+    return term;
+  }
+
+  public long termVersion() {
+    return termVersion;
+  }
+
+  /** Who leads, or null. */
+  public Records.Leader leader() {
+    return leader;
+  }
+
+  /** The machine types as some leader last wrote them, or null. */
+  public List<MachineType> catalog() {
+    return catalog;
+  }
+
+  public long catalogVersion() {
+    return catalogVersion;
+  }
+
+  /**
+   * Completes once the copy holds everything committed before this call; fails if it can't tell.
+   */
+  public CompletableFuture<Void> refresh() {
+    CompletableFuture<Void> result = new CompletableFuture<>();
+    Duration now = loop.now();
+    boolean stuck = readingSince != null && now.minus(readingSince).compareTo(slow) > 0;
+    if (!loaded || stuck) {
+      result.completeExceptionally(
+          new StateException(StateException.Kind.REFUSED, "the state service is silent"));
+      return result;
+    }
+    waiting.add(result);
+    scheduleRead();
+    return result;
+  }
+
+  private void scheduleRead() {
+    if (readingSince != null || readTimer != null || waiting.isEmpty()) {
+      return;
+    }
+    Duration wait = lastReading.plus(refreshGap).minus(loop.now());
+    if (wait.isNegative() || wait.isZero()) {
+      read();
+    } else {
+      readTimer = loop.schedule(wait, this::readNow);
+    }
+  }
+
+  private void readNow() {
+    readTimer = null;
+    read();
+  }
+
+  private void read() {
+    if (!budget.takeRead()) {
+      readTimer = loop.schedule(refreshGap, this::readNow);
+      return;
+    }
+    List<CompletableFuture<Void>> batch = waiting;
+    waiting = new ArrayList<>();
+    Duration sent = loop.now();
+    readingSince = sent;
+    lastReading = sent;
+    client
+        .follow(Records.PREFIX, revision, Duration.ZERO)
+        .whenComplete(
+            (changes, failure) -> {
+              readingSince = null;
+              if (failure == null) {
+                confirmed = sent;
+                apply(changes);
+                batch.forEach(item -> item.complete(null));
+                scheduleRead();
+              } else {
+                batch.forEach(item -> item.completeExceptionally(failure));
+                failWaiting("the state service is silent");
+                failed(failure);
+              }
+            });
+  }
+
+  private void failWaiting(String why) {
+    List<CompletableFuture<Void>> batch = waiting;
+    waiting = new ArrayList<>();
+    StateException failure = new StateException(StateException.Kind.REFUSED, why);
+    batch.forEach(item -> item.completeExceptionally(failure));
+  }
+
+  private void failed(Throwable failure) {
+    StateException.Kind kind = StateException.kindOf(failure);
+    if (kind == StateException.Kind.GONE) {
+      LOG.info("the history after revision {} is gone, reading all keys again", revision);
+      load();
+    } else if (kind == StateException.Kind.REFUSED) {
+      budget.drain();
+    }
+  }
+
+  private void watch() {
+    watchTimer = null;
+    if (!running || loading) {
+      return;
+    }
+    budget.force(0);
+    client
+        .follow(Records.PREFIX, revision, WATCH)
+        .whenComplete(
+            (changes, failure) -> {
+              if (!running || loading) {
+                return;
+              }
+              if (failure == null) {
+                apply(changes);
+              } else {
+                failed(failure);
+              }
+              if (!loading && watchTimer == null) {
+                watchTimer = loop.schedule(failure == null ? WATCH_GAP : RETRY, this::watch);
+              }
+            });
+  }
+
+  /**
+   * Applies what is new of a batch. Batches may overlap, since the watch and readings are apart.
+   */
+  private void apply(StateWire.Changes changes) {
+    boolean changed = false;
+    for (StateWire.Event event : changes.events()) {
+      if (event.version() > revision) {
+        set(event);
+        changed = true;
+      }
+    }
+    revision = Math.max(revision, changes.revision());
+    if (changed) {
+      listeners.forEach(Runnable::run);
+    }
+  }
+
+  /**
+   * Reads all keys, then the changes since the first page. Pages are of different moments, so the
+   * copy is whole only after that catching up.
+   */
+  private void load() {
+    if (loading || !running) {
+      return;
+    }
+    loading = true;
+    loaded = false;
+    failWaiting("reading all keys");
+    loadPage(null, -1, new HashMap<>());
+  }
+
+  private void loadPage(String after, long from, Map<String, StateWire.Event> found) {
+    if (!running) {
+      return;
+    }
+    budget.force(0);
+    client
+        .list(Records.PREFIX, after)
+        .whenComplete(
+            (page, failure) -> {
+              if (failure != null) {
+                loop.schedule(RETRY, () -> loadPage(after, from, found));
+                return;
+              }
+              long start = from < 0 ? page.revision() : from;
+              page.items().forEach(item -> found.put(item.key(), item));
+              if (page.more() && !page.items().isEmpty()) {
+                loadPage(page.items().get(page.items().size() - 1).key(), start, found);
+              } else {
+                catchUp(start, found);
+              }
+            });
+  }
+
+  private void catchUp(long from, Map<String, StateWire.Event> found) {
+    if (!running) {
+      return;
+    }
+    budget.force(0);
+    Duration sent = loop.now();
+    client
+        .follow(Records.PREFIX, from, Duration.ZERO)
+        .whenComplete(
+            (changes, failure) -> {
+              if (failure != null) {
+                boolean again = StateException.kindOf(failure) == StateException.Kind.GONE;
+                loop.schedule(
+                    RETRY,
+                    again ? () -> loadPage(null, -1, new HashMap<>()) : () -> catchUp(from, found));
+                return;
+              }
+              for (StateWire.Event event : changes.events()) {
+                StateWire.Event known = found.get(event.key());
+                if (known == null || known.version() <= event.version()) {
+                  found.put(event.key(), event);
+                }
+              }
+              replaceAll(found);
+              revision = changes.revision();
+              confirmed = sent;
+              loading = false;
+              loaded = true;
+              LOG.info("read {} keys up to revision {}", found.size(), revision);
+              listeners.forEach(Runnable::run);
+              watch();
+            });
+  }
+
+  private void replaceAll(Map<String, StateWire.Event> found) {
+    jobs.clear();
+    active.clear();
+    term = 0;
+    termVersion = 0;
+    leader = null;
+    catalog = null;
+    catalogVersion = 0;
+    Set<String> later = new HashSet<>();
+    found.forEach(
+        (key, event) -> {
+          if (key.startsWith(Records.OUTCOMES) || key.startsWith(Records.PROGRESS)) {
+            later.add(key);
+          } else {
+            set(event);
+          }
+        });
+    later.forEach(key -> set(found.get(key)));
+  }
+
+  private void set(StateWire.Event event) {
+    String key = event.key();
+    JsonNode value = event.value();
+    if (key.startsWith(Records.PROGRESS)) {
+      setProgress(key.substring(Records.PROGRESS.length()), value, event.version());
+    } else if (key.startsWith(Records.JOBS)) {
+      setJob(key.substring(Records.JOBS.length()), value);
+    } else if (key.startsWith(Records.OUTCOMES)) {
+      JobEntry entry = jobs.get(key.substring(Records.OUTCOMES.length()));
+      if (entry != null && value != null) {
+        entry.setOutcome(Records.readOutcome(value));
+        settle(entry);
+      }
+    } else if (key.equals(Records.TERM)) {
+      term = value == null ? 0 : Records.readTerm(value);
+      termVersion = value == null ? 0 : event.version();
+    } else if (key.equals(Records.LEADER)) {
+      leader = value == null ? null : Records.readLeader(value);
+    } else if (key.equals(Records.CATALOG) && value != null) {
+      setCatalog(value, event.version());
+    }
+  }
+
+  private void setJob(String id, JsonNode value) {
+    if (value == null) {
+      return;
+    }
+    try {
+      JobEntry entry = new JobEntry(Records.readJob(value), Records.readTasksPerShard(value));
+      jobs.put(id, entry);
+      active.put(id, entry);
+    } catch (WireException e) {
+      LOG.error("the record of job {} is unreadable: {}", id, e.getMessage());
+    }
+  }
+
+  private void setProgress(String rest, JsonNode value, long version) {
+    int slash = rest.lastIndexOf('/');
+    JobEntry entry = slash < 0 ? null : jobs.get(rest.substring(0, slash));
+    if (entry != null) {
+      int index = Integer.parseInt(rest.substring(slash + 1));
+      entry.setShard(
+          index, value == null ? null : new JobEntry.Versioned(Records.readShard(value), version));
+      settle(entry);
+    }
+  }
+
+  private void settle(JobEntry entry) {
+    if (entry.outcome() != null && entry.shards().isEmpty()) {
+      active.remove(entry.job().id());
+    } else {
+      active.put(entry.job().id(), entry);
+    }
+  }
+
+  private void setCatalog(JsonNode value, long version) {
+    try {
+      catalog = CloudWire.parseCatalog(value);
+      catalogVersion = version;
+    } catch (WireException e) {
+      LOG.error(
+          "the record of the catalog is unreadable: {} {}", e.getMessage(), Json.bytes(value));
+    }
+  }
+
+  private static void cancel(EventLoop.Timer timer) {
+    if (timer != null) {
+      timer.cancel();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/store/StateClient.java
@@ -0,0 +1,112 @@
+package io.cherryspool.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.http.Reply;
+import io.cherryspool.http.Request;
+import io.cherryspool.http.Transport;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.StateWire;
+import io.cherryspool.wire.WireException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+/** The state service's calls. Failures are {@link StateException}s. */
+public final class StateClient {
+  private final Transport transport;
+  private final Endpoint service;
+  private final Duration deadline;
+
+  public StateClient(Transport transport, Endpoint service, Duration deadline) {
+    this.transport = transport;
+    this.service = service;
+    this.deadline = deadline;
+  }
+
+  /** What became of a transaction: applied, or the conditions that failed. */
+  public record CommitResult(boolean applied, Set<String> failed, long revision) {}
+
+  public CompletableFuture<CommitResult> commit(
+      Map<String, Long> conditions, List<StateWire.Change> changes) {
+    return transport
+        .send(service, StateWire.commit(conditions, changes), deadline)
+        .handle(
+            (reply, failure) -> {
+              JsonNode body = body(reply, failure, 409);
+              try {
+                long revision = StateWire.revision(body);
+                return reply.status() == 200
+                    ? new CommitResult(true, Set.of(), revision)
+                    : new CommitResult(false, StateWire.failed(body), revision);
+              } catch (WireException e) {
+                throw new StateException(StateException.Kind.UNKNOWN, e.getMessage());
+              }
+            });
+  }
+
+  public CompletableFuture<StateWire.Page> list(String prefix, String after) {
+    return call(StateWire.list(prefix, after, 1000), deadline, StateWire::parsePage);
+  }
+
+  /** Changes after a revision, waiting up to {@code wait} for the first. */
+  public CompletableFuture<StateWire.Changes> follow(String prefix, long after, Duration wait) {
+    return call(
+        StateWire.follow(prefix, after, wait), deadline.plus(wait), StateWire::parseChanges);
+  }
+
+  public CompletableFuture<Long> lease(Duration ttl) {
+    return call(StateWire.lease(ttl), deadline, StateWire::parseLease);
+  }
+
+  public CompletableFuture<Void> extend(long lease) {
+    return call(StateWire.extend(lease), deadline, body -> null);
+  }
+
+  public CompletableFuture<Void> end(long lease) {
+    return call(StateWire.end(lease), deadline, body -> null);
+  }
+
+  private <T> CompletableFuture<T> call(Request request, Duration limit, Parser<T> parser) {
+    return transport
+        .send(service, request, limit)
+        .handle(
+            (reply, failure) -> {
+              JsonNode body = body(reply, failure, 200);
+              try {
+                return parser.parse(body);
+              } catch (WireException e) {
+                throw new StateException(StateException.Kind.UNKNOWN, e.getMessage());
+              }
+            });
+  }
+
+  private static JsonNode body(Reply reply, Throwable failure, int alsoFine) {
+    if (failure != null) {
+      throw new StateException(StateException.Kind.UNKNOWN, failure.toString());
+    }
+    int status = reply.status();
+    if (status == 200 || status == alsoFine) {
+      try {
+        return reply.body().length == 0 ? Json.object() : Json.parseObject(reply.body());
+      } catch (WireException e) {
+        throw new StateException(StateException.Kind.UNKNOWN, e.getMessage());
+      }
+    }
+    throw new StateException(
+        switch (status) {
+          case 429, 503 -> StateException.Kind.REFUSED;
+          case 404, 410 -> StateException.Kind.GONE;
+          case 400 -> StateException.Kind.REJECTED;
+          default -> StateException.Kind.UNKNOWN;
+        },
+        "state service answered " + status);
+  }
+
+  @FunctionalInterface
+  private interface Parser<T> {
+    T parse(JsonNode body) throws WireException;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/store/StateException.java
@@ -0,0 +1,38 @@
+package io.cherryspool.store;
+
+/** A request that the state service did not answer with success. */
+public final class StateException extends RuntimeException {
+  private static final long serialVersionUID = 1L;
+
+  /** What is known of the request's effect. */
+  public enum Kind {
+    /** It was not carried out, and may be tried again. */
+    REFUSED,
+    /** It may have been carried out, or may yet be. */
+    UNKNOWN,
+    /** What it names is gone: a lease that ran out, a history too old. */
+    GONE,
+    /** It can't succeed as it is. */
+    REJECTED
+  }
+
+  private final Kind kind;
+
+  public StateException(Kind kind, String message) {
+    super(message);
+    this.kind = kind;
+  }
+
+  public Kind kind() {
+    return kind;
+  }
+
+  /** The kind of a failed future's cause; unknown for failures of the transport. */
+  public static Kind kindOf(Throwable failure) {
+    Throwable cause = failure;
+    while (cause instanceof java.util.concurrent.CompletionException && cause.getCause() != null) {
+      cause = cause.getCause();
+    }
+    return cause instanceof StateException e ? e.kind : Kind.UNKNOWN;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/wire/CloudWire.java
@@ -0,0 +1,125 @@
+package io.cherryspool.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.cherryspool.http.Request;
+import io.cherryspool.model.MachineType;
+import io.cherryspool.model.Rented;
+import io.cherryspool.model.Resources;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The cloud's requests and answers. */
+public final class CloudWire {
+  private CloudWire() {}
+
+  /** One page of the machine list. */
+  public record Page(List<Rented> machines, boolean more) {}
+
+  public static Request catalog() {
+    return Request.get("/catalog");
+  }
+
+  public static List<MachineType> parseCatalog(JsonNode node) throws WireException {
+    List<MachineType> types = new ArrayList<>();
+    for (JsonNode build : node.path("builds")) {
+      types.add(
+          new MachineType(
+              Json.text(build, "name"),
+              new Resources(
+                  Json.amount(build, "vcpus"),
+                  Json.amount(build, "gpus"),
+                  Json.amount(build, "mem_gb")),
+              Json.amount(build, "local_gb"),
+              Json.amount(build, "fetch_gb_per_s"),
+              Json.amount(build, "rate"),
+              Json.amount(build, "market_price"),
+              Json.seconds(build, "startup_s"),
+              List.copyOf(Json.texts(build, "yards"))));
+    }
+    if (types.isEmpty()) {
+      throw new WireException("the catalog is empty");
+    }
+    return List.copyOf(types);
+  }
+
+  public static ObjectNode encodeCatalog(List<MachineType> types) {
+    ObjectNode node = Json.object();
+    ArrayNode builds = node.putArray("builds");
+    for (MachineType type : types) {
+      ObjectNode build = builds.addObject();
+      build.put("name", type.name());
+      build.put("vcpus", type.size().cpus());
+      build.put("gpus", type.size().gpus());
+      build.put("mem_gb", type.size().memoryGb());
+      build.put("local_gb", type.cacheGb());
+      build.put("fetch_gb_per_s", type.fetchGbPerS());
+      build.put("rate", type.price());
+      build.put("market_price", type.spotPrice());
+      build.put("startup_s", Json.toSeconds(type.boot()));
+      ArrayNode zones = build.putArray("yards");
+      type.zones().forEach(zones::add);
+    }
+    return node;
+  }
+
+  public static Request rent(String name, String type, String zone, boolean spot, int count) {
+    ObjectNode node = Json.object().put("hire", name).put("build", type).put("yard", zone);
+    node.put("loaners", spot).put("how_many", count);
+    return Request.post("/machines", Json.bytes(node));
+  }
+
+  /** Tells a sold-out type from an outage, which has the same status. */
+  public static boolean isNoCapacity(byte[] body) {
+    try {
+      return "no capacity".equals(Json.parseObject(body).path("error").asText());
+    } catch (WireException e) {
+      return false;
+    }
+  }
+
+  public static List<String> parseRented(JsonNode node) throws WireException {
+    return Json.texts(node, "spindles");
+  }
+
+  public static Request delete(List<String> machines) {
+    ObjectNode node = Json.object();
+    ArrayNode names = node.putArray("spindles");
+    machines.forEach(names::add);
+    return Request.post("/machines/delete", Json.bytes(node));
+  }
+
+  public static Request list(String after, int limit) {
+    String from =
+        after == null ? "" : "from=" + URLEncoder.encode(after, StandardCharsets.UTF_8) + "&";
+    return Request.get("/machines?" + from + "limit=" + limit);
+  }
+
+  public static Page parsePage(JsonNode node) throws WireException {
+    List<Rented> machines = new ArrayList<>();
+    for (JsonNode item : node.path("spindles")) {
+      machines.add(
+          new Rented(
+              Json.text(item, "ref"),
+              Json.textOrNull(item, "endpoint"),
+              Json.text(item, "build"),
+              Json.text(item, "yard"),
+              Json.flag(item, "loaners"),
+              status(Json.text(item, "status")),
+              Json.seconds(item, "held_s")));
+    }
+    return new Page(machines, node.path("has_next").asBoolean(false));
+  }
+
+  private static Rented.Status status(String word) throws WireException {
+    return switch (word) {
+      case "booting" -> Rented.Status.BOOTING;
+      case "running" -> Rented.Status.RUNNING;
+      case "failed" -> Rented.Status.FAILED;
+      default -> throw new WireException("status is unknown: " + word);
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/wire/Json.java
@@ -0,0 +1,125 @@
+package io.cherryspool.wire;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reading and writing JSON trees, with checks that name the field. */
+public final class Json {
+  private static final JsonMapper MAPPER =
+      JsonMapper.builder()
+          .disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION)
+          .disable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .build();
+
+  private Json() {}
+
+  public static ObjectNode object() {
+    return JsonNodeFactory.instance.objectNode();
+  }
+
+  public static ArrayNode array() {
+    return JsonNodeFactory.instance.arrayNode();
+  }
+
+  public static byte[] bytes(JsonNode node) {
+    try {
+      return MAPPER.writeValueAsBytes(node);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a tree that cannot be written", e);
+    }
+  }
+
+  /** Reads one object and nothing after it. */
+  public static JsonNode parseObject(byte[] body) throws WireException {
+    JsonNode node;
+    try {
+      node = MAPPER.readTree(body);
+    } catch (IOException e) {
+      throw new WireException("not JSON");
+    }
+    if (node == null || !node.isObject()) {
+      throw new WireException("not a JSON object");
+    }
+    return node;
+  }
+
+  static String text(JsonNode node, String field) throws WireException {
+    JsonNode found = node.path(field);
+    if (!found.isTextual() || found.textValue().isEmpty()) {
+      throw new WireException(field + " must be a non-empty string");
+    }
+    return found.textValue();
+  }
+
+  static String textOrNull(JsonNode node, String field) throws WireException {
+    return absent(node, field) ? null : text(node, field);
+  }
+
+  static boolean absent(JsonNode node, String field) {
+    JsonNode found = node.path(field);
+    return found.isMissingNode() || found.isNull();
+  }
+
+  static boolean flag(JsonNode node, String field) throws WireException {
+    JsonNode found = node.path(field);
+    if (!found.isBoolean()) {
+      throw new WireException(field + " must be true or false");
+    }
+    return found.booleanValue();
+  }
+
+  static long integer(JsonNode node, String field, long min, long max) throws WireException {
+    JsonNode found = node.path(field);
+    if (!found.isIntegralNumber()
+        || !found.canConvertToLong()
+        || found.longValue() < min
+        || found.longValue() > max) {
+      throw new WireException(field + " must be an integer from " + min + " to " + max);
+    }
+    return found.longValue();
+  }
+
+  static double amount(JsonNode node, String field) throws WireException {
+    JsonNode found = node.path(field);
+    double value = found.doubleValue();
+    if (!found.isNumber() || !(value >= 0) || value > 1e9) {
+      throw new WireException(field + " must be a number of at least 0");
+    }
+    return value;
+  }
+
+  static Duration seconds(JsonNode node, String field) throws WireException {
+    return Duration.ofNanos(Math.round(amount(node, field) * 1e9));
+  }
+
+  static List<String> texts(JsonNode node, String field) throws WireException {
+    JsonNode found = node.path(field);
+    if (!found.isArray()) {
+      throw new WireException(field + " must be a list of strings");
+    }
+    List<String> result = new ArrayList<>();
+    for (JsonNode item : found) {
+      if (!item.isTextual()) {
+        throw new WireException(field + " must be a list of strings");
+      }
+      result.add(item.textValue());
+    }
+    return result;
+  }
+
+  static double toSeconds(Duration duration) {
+    return duration.toNanos() / 1e9;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/wire/StateWire.java
@@ -0,0 +1,113 @@
+package io.cherryspool.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.cherryspool.http.Request;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** The state service's requests and answers. */
+public final class StateWire {
+  private StateWire() {}
+
+  /** One change: a put, or with a null value a delete; a lease of 0 attaches to none. */
+  public record Change(String key, JsonNode value, long lease) {}
+
+  /** A key's state, or with a null value its removal. */
+  public record Event(String key, JsonNode value, long version) {}
+
+  /** Changes after a revision, up to {@code revision}. */
+  public record Changes(List<Event> events, long revision) {}
+
+  /** One page of keys. */
+  public record Page(List<Event> items, boolean more, long revision) {}
+
+  public static Request commit(Map<String, Long> conditions, List<Change> changes) {
+    ObjectNode node = Json.object();
+    ArrayNode guard = node.putArray("if");
+    conditions.forEach((key, version) -> guard.addObject().put("path", key).put("stamp", version));
+    ArrayNode apply = node.putArray("apply");
+    for (Change change : changes) {
+      if (change.value() == null) {
+        apply.addObject().put("delete", change.key());
+      } else {
+        ObjectNode put = apply.addObject().put("put", change.key());
+        put.set("v", change.value());
+        if (change.lease() != 0) {
+          put.put("tenancy", change.lease());
+        }
+      }
+    }
+    return Request.post("/commit", Json.bytes(node));
+  }
+
+  public static long revision(JsonNode node) throws WireException {
+    return Json.integer(node, "epoch", 0, Long.MAX_VALUE);
+  }
+
+  public static Set<String> failed(JsonNode node) throws WireException {
+    return new HashSet<>(Json.texts(node, "failed"));
+  }
+
+  public static Request list(String prefix, String after, int limit) {
+    String from = after == null ? "" : "&from=" + encode(after);
+    return Request.get("/keys?starts=" + encode(prefix) + from + "&limit=" + limit);
+  }
+
+  public static Page parsePage(JsonNode node) throws WireException {
+    List<Event> items = new ArrayList<>();
+    for (JsonNode item : node.path("entries")) {
+      items.add(
+          new Event(
+              Json.text(item, "path"),
+              item.path("v"),
+              Json.integer(item, "stamp", 0, Long.MAX_VALUE)));
+    }
+    return new Page(items, node.path("has_next").asBoolean(false), revision(node));
+  }
+
+  public static Request follow(String prefix, long after, Duration wait) {
+    return Request.get(
+        "/follow?starts=" + encode(prefix) + "&from=" + after + "&block_ms=" + wait.toMillis());
+  }
+
+  public static Changes parseChanges(JsonNode node) throws WireException {
+    List<Event> events = new ArrayList<>();
+    for (JsonNode item : node.path("events")) {
+      long version = Json.integer(item, "stamp", 0, Long.MAX_VALUE);
+      if (item.has("delete")) {
+        events.add(new Event(Json.text(item, "delete"), null, version));
+      } else {
+        events.add(new Event(Json.text(item, "put"), item.path("v"), version));
+      }
+    }
+    return new Changes(events, revision(node));
+  }
+
+  public static Request lease(Duration ttl) {
+    return Request.post("/leases", Json.bytes(Json.object().put("ttl_ms", ttl.toMillis())));
+  }
+
+  public static long parseLease(JsonNode node) throws WireException {
+    return Json.integer(node, "tenancy", 1, Long.MAX_VALUE);
+  }
+
+  public static Request extend(long lease) {
+    return Request.post("/leases/" + lease + "/extend", new byte[0]);
+  }
+
+  public static Request end(long lease) {
+    return Request.delete("/leases/" + lease);
+  }
+
+  private static String encode(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("%2F", "/");
+  }
+}
