--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Rental.java
@@ -48,6 +48,7 @@
   private Request repeat;
   private int counter;
   private boolean busy;
+  private boolean listRead;
   private Duration listSince;
   private EventLoop.Timer timer;
 
@@ -109,7 +110,7 @@
       readList(null, new HashMap<>());
       return;
     }
-    if (list.isEmpty() && fleet.all().isEmpty()) {
+    if (!listRead) {
       return;
     }
     condemn(now);
@@ -143,6 +144,7 @@
   }
 
   private void take(Map<String, Rented> found) {
+    listRead = true;
     list.clear();
     list.putAll(found);
     Duration now = loop.now();
@@ -266,7 +268,7 @@
   }
 
   private void plan(Duration now) {
-    if (catalog.get() == null || listSince == null) {
+    if (catalog.get() == null) {
       return;
     }
     soldOut.values().removeIf(at -> now.minus(at).compareTo(SOLD_OUT) > 0);
