--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/Simulation.java
@@ -0,0 +1,389 @@
+package io.cherryspool.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.cherryspool.config.OperatorSettings;
+import io.cherryspool.config.Settings;
+import io.cherryspool.controller.Controller;
+import io.cherryspool.duty.EventLoop;
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.http.Request;
+import io.cherryspool.http.Transport;
+import io.cherryspool.mesh.Mesh;
+import io.cherryspool.model.Job;
+import io.cherryspool.model.MachineType;
+import io.cherryspool.model.Priority;
+import io.cherryspool.model.Resources;
+import io.cherryspool.model.Team;
+import io.cherryspool.wire.JobWire;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.WireException;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/**
+ * Three controllers against the stand-ins in simulated time, with random troubles. The rules are
+ * checked after each step, and at the end every job that nobody cancelled must be done.
+ */
+final class Simulation {
+  private static final List<String> ZONES = List.of("a", "b", "c");
+  private static final Endpoint STATE = new Endpoint("10.2.0.1", 2379);
+  private static final Endpoint CLOUD = new Endpoint("10.2.0.2", 8443);
+  private static final Duration REPORT = Duration.ofMillis(2500);
+  private static final Duration LEASE = Duration.ofSeconds(16);
+  private static final Duration CANCEL = Duration.ofSeconds(36);
+  private static final MachineType TYPE =
+      new MachineType(
+          "box", new Resources(16, 0, 64), 50, 0.5, 1, 0.4, Duration.ofSeconds(8), ZONES);
+
+  private final VirtualTime time = new VirtualTime();
+  private final SplittableRandom random;
+  private final SimNet net;
+  private final StandInState state;
+  private final StandInCloud cloud;
+  private final RuleChecker rules;
+  private final List<Team> teams =
+      List.of(new Team("red", 40, 64, 0, 0), new Team("blue", 40, 96, 0, 0));
+  private final List<Node> nodes = new ArrayList<>();
+  private final Map<String, Endpoint> nodeAddresses = new LinkedHashMap<>();
+  private final Map<String, StandInWorker> workers = new TreeMap<>();
+  private int jobCount;
+  private double troubleEnd;
+
+  Simulation(long seed) {
+    random = new SplittableRandom(seed);
+    net = new SimNet(time, random.split());
+    rules = new RuleChecker(time, teams, CANCEL);
+    state = new StandInState(time, random.split(), 0.01);
+    cloud = new StandInCloud(time, random.split(), List.of(TYPE), 10, this::boot, this::end);
+    net.listen(STATE, state);
+    net.listen(CLOUD, cloud);
+    for (int i = 0; i < 3; i++) {
+      nodeAddresses.put("node-" + i, new Endpoint("10.0.0." + (i + 1), 8080));
+    }
+    for (int i = 0; i < 3; i++) {
+      Node node = new Node(i);
+      nodes.add(node);
+      node.begin();
+    }
+    for (int i = 0; i < 5; i++) {
+      cloud.add("box", ZONES.get(i % 3), i % 2 == 0, Duration.ofSeconds(1));
+    }
+  }
+
+  /** A controller's place, in which processes come and go. */
+  private final class Node {
+    private final int index;
+    private final Endpoint address;
+    private final Endpoint meshAddress;
+    private int life;
+    private Controller controller;
+
+    Node(int index) {
+      this.index = index;
+      this.address = nodeAddresses.get("node-" + index);
+      this.meshAddress = new Endpoint(address.host(), 8081);
+    }
+
+    void begin() {
+      int mine = ++life;
+      EventLoop loop = time.of(() -> life == mine);
+      Transport transport = net.from(address.host(), () -> life == mine);
+      List<Settings.Peer> peers = new ArrayList<>();
+      for (int i = 0; i < 3; i++) {
+        if (i != index) {
+          peers.add(new Settings.Peer("node-" + i, new Endpoint("10.0.0." + (i + 1), 8081)));
+        }
+      }
+      Settings settings =
+          new Settings(
+              "node-" + index,
+              ZONES.get(index),
+              address,
+              meshAddress,
+              peers,
+              CLOUD,
+              STATE,
+              teams,
+              REPORT,
+              LEASE,
+              CANCEL,
+              new Settings.StateLimits(150, 60, 2048, 12),
+              6,
+              Duration.ofSeconds(6),
+              1000);
+      controller =
+          new Controller(
+              settings,
+              OperatorSettings.DEFAULTS,
+              new Controller.Surroundings(
+                  loop,
+                  transport,
+                  word -> tell(mine, word),
+                  random.split(),
+                  () -> Instant.EPOCH.plus(time.now()),
+                  "node-" + index + "-life-" + mine,
+                  new SimpleMeterRegistry(),
+                  () -> ""));
+      net.listen(address, controller);
+      controller.start();
+    }
+
+    private void tell(int mine, Mesh.Word word) {
+      if (life != mine) {
+        return;
+      }
+      for (Node other : nodes) {
+        if (other != this) {
+          time.schedule(
+              Duration.ofMillis(2),
+              () -> {
+                if (other.controller != null) {
+                  other.controller.heard(word);
+                }
+              });
+        }
+      }
+    }
+
+    void crash(Duration down) {
+      if (controller != null) {
+        life++;
+        controller = null;
+        net.close(address);
+        time.schedule(down, this::begin);
+      }
+    }
+  }
+
+  private void boot(StandInCloud.Machine machine) {
+    StandInWorker worker =
+        new StandInWorker(
+            time,
+            random.split(),
+            net.from(machine.host, () -> true),
+            machine,
+            nodeAddresses,
+            rules::job,
+            REPORT,
+            LEASE,
+            (on, task) -> rules.started(on, task, workers.values()),
+            rules::finished);
+    workers.put(machine.name, worker);
+    net.listen(Endpoint.parse(machine.address()), worker);
+  }
+
+  private void end(StandInCloud.Machine machine) {
+    StandInWorker worker = workers.remove(machine.name);
+    if (worker != null) {
+      worker.die();
+      net.close(Endpoint.parse(machine.address()));
+    }
+  }
+
+  /** Plays a day: troubles for a while, then quiet until everything has to be over. */
+  void play(double troubles, double quiet) {
+    troubleEnd = troubles;
+    after(1, this::arrive);
+    after(20, this::trouble);
+    run(troubles + quiet);
+    rules.checkAnswered();
+    rules.check(workers.values());
+    for (String id : rules.accepted()) {
+      if (!rules.ended(id)) {
+        throw new AssertionError("unfinished at the end: " + id + " " + nodes.get(0).controller);
+      }
+    }
+    if (rules.starts() == 0) {
+      throw new AssertionError("nothing_ran");
+    }
+  }
+
+  int starts() {
+    return rules.starts();
+  }
+
+  private void run(double end) {
+    Duration until = Duration.ofMillis((long) (end * 1000));
+    while (time.step(until)) {
+      rules.check(workers.values());
+    }
+  }
+
+  private void after(double seconds, Runnable task) {
+    time.schedule(Duration.ofNanos((long) (seconds * 1e9)), task);
+  }
+
+  private void arrive() {
+    if (time.seconds() > troubleEnd) {
+      return;
+    }
+    after(0.5 + random.nextDouble() * 6, this::arrive);
+    int size = 1 + random.nextInt(random.nextInt(10) == 0 ? 80 : 8);
+    boolean saves = random.nextBoolean();
+    Job job =
+        new Job(
+            String.format("req-%06d", ++jobCount),
+            "lane",
+            random.nextBoolean() ? "red" : "blue",
+            random.nextInt(3) == 0 ? Priority.HIGH : Priority.NORMAL,
+            size,
+            new Resources(1 + random.nextInt(8), 0, 4),
+            "img-" + random.nextInt(3),
+            1,
+            null,
+            random.nextInt(8) == 0 ? ZONES.get(random.nextInt(3)) : null,
+            random.nextInt(8) == 0,
+            random.nextInt(8) == 0,
+            random.nextInt(4) != 0,
+            Duration.ofSeconds(2 + random.nextInt(10)),
+            saves ? Duration.ofSeconds(4) : Duration.ZERO,
+            saves ? Duration.ofSeconds(1) : Duration.ZERO,
+            null,
+            Instant.EPOCH);
+    rules.submitted(job);
+    submit(job, 0);
+    if (random.nextInt(6) == 0) {
+      after(random.nextDouble() * 25, () -> cancel(job.id()));
+    }
+    if (random.nextInt(4) == 0) {
+      // A repeated submission, maybe through another node, maybe after the end.
+      after(random.nextDouble() * 60, () -> submit(job, 0));
+    }
+  }
+
+  private Endpoint anyNode() {
+    return nodes.get(random.nextInt(3)).address;
+  }
+
+  private void submit(Job job, int tries) {
+    ask(
+        Request.post("/api/jobs", Json.bytes(JobWire.encode(job))),
+        5,
+        (status, body) -> {
+          if (status == 200 || status == 201) {
+            boolean first = !rules.accepted().contains(job.id());
+            rules.accepted(job.id());
+            rules.told(job.id(), body.path("status").asText());
+            if (first) {
+              poll(job.id());
+            }
+          } else if (status == 400 || status == 422) {
+            rules.refused(job.id(), status);
+            rules.broken(true, "refused", job.id() + " with " + status + ": " + body);
+          } else if (tries < 40) {
+            after(1, () -> submit(job, tries + 1));
+          }
+        });
+  }
+
+  private void poll(String id) {
+    ask(
+        Request.get("/api/jobs/" + id),
+        2,
+        (status, body) -> {
+          if (status == 200) {
+            rules.told(id, body.path("status").asText());
+          } else if (status == 404) {
+            rules.told(id, "404");
+          }
+        });
+    after(rules.ended(id) ? 40 : 5, () -> poll(id));
+  }
+
+  private void cancel(String id) {
+    rules.cancelAsked(id);
+    ask(
+        Request.post("/api/jobs/" + id + "/withdraw", new byte[0]),
+        5,
+        (status, body) -> {
+          if (status == 200) {
+            rules.told(id, body.path("status").asText());
+          } else {
+            after(1, () -> cancel(id));
+          }
+        });
+  }
+
+  @FunctionalInterface
+  private interface Answer {
+    void take(int status, JsonNode body);
+  }
+
+  private void ask(Request request, int limit, Answer answer) {
+    net.from("user", () -> true)
+        .send(anyNode(), request, Duration.ofSeconds(limit))
+        .whenComplete(
+            (reply, failure) -> {
+              try {
+                answer.take(
+                    failure == null ? reply.status() : 0,
+                    failure == null && reply.body().length > 0
+                        ? Json.parseObject(reply.body())
+                        : Json.object());
+              } catch (WireException e) {
+                throw new AssertionError(e);
+              }
+            });
+  }
+
+  private void trouble() {
+    if (time.seconds() > troubleEnd - 30) {
+      return;
+    }
+    after(3 + random.nextDouble() * 20, this::trouble);
+    Duration length = Duration.ofMillis(2000 + random.nextLong(25_000));
+    Node node = nodes.get(random.nextInt(3));
+    switch (random.nextInt(10)) {
+      case 0 -> node.crash(Duration.ofMillis(200 + random.nextLong(8000)));
+      case 1 -> nodes.forEach(item -> item.crash(Duration.ofMillis(500 + random.nextLong(8000))));
+      case 2 -> {
+        state.setDown(true);
+        time.schedule(length, () -> state.setDown(false));
+      }
+      case 3 -> {
+        cloud.setDown(true);
+        time.schedule(length, () -> cloud.setDown(false));
+      }
+      case 4 -> net.cut(node.address.host(), STATE.host(), length);
+      case 5 -> {
+        for (StandInCloud.Machine machine : cloud.up()) {
+          if (random.nextInt(3) > 0) {
+            net.cut(node.address.host(), machine.host, length);
+          }
+        }
+      }
+      case 6 -> anyWorker().ifPresent(worker -> worker.hang(length));
+      case 7 -> anyWorker().ifPresent(StandInWorker::die);
+      case 8 ->
+          anyWorker()
+              .ifPresent(
+                  worker -> {
+                    worker.warn(6);
+                    after(6, () -> cloud.take(worker.machine().name));
+                  });
+      default -> {
+        String zone = ZONES.get(random.nextInt(3));
+        for (Node item : nodes) {
+          for (StandInCloud.Machine machine : cloud.up()) {
+            if (machine.zone.equals(zone) != ZONES.get(item.index).equals(zone)) {
+              net.cut(item.address.host(), machine.host, length);
+            }
+          }
+        }
+      }
+    }
+  }
+
+  private java.util.Optional<StandInWorker> anyWorker() {
+    return workers.isEmpty()
+        ? java.util.Optional.empty()
+        : workers.values().stream().skip(random.nextInt(workers.size())).findFirst();
+  }
+}
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/SimulationTest.java
@@ -0,0 +1,25 @@
+package io.cherryspool.sim;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Seeded days of troubles, each with the rules checked after every step.
+ *
+ * <p>That this can fail was tried by breaking fences one at a time: judging tasks lapsed after two
+ * reports' time instead of the worker lease gave ran_twice and quota, and answering polls from the
+ * copy without bringing it up to date gave went_back, each within the first seeds. Dropping the
+ * term condition of a round alone changed nothing here, since the records' own versions stop the
+ * same writes; {@code FenceTest} covers the fences that random days reach too rarely.
+ */
+class SimulationTest {
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16})
+  void rulesHoldAndWorkIsFinished(long seed) {
+    Simulation simulation = new Simulation(seed);
+    simulation.play(300, 200);
+    assertTrue(simulation.starts() > 100, "only " + simulation.starts() + " starts");
+  }
+}
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/StandInCloud.java
@@ -0,0 +1,194 @@
+package io.cherryspool.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.cherryspool.duty.EventLoop;
+import io.cherryspool.http.Handler;
+import io.cherryspool.http.Reply;
+import io.cherryspool.http.Request;
+import io.cherryspool.model.MachineType;
+import io.cherryspool.wire.CloudWire;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.WireException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/** A stand-in for the cloud: rents machines, boots workers on them, and tells of them late. */
+public final class StandInCloud implements Handler {
+  private static final int PORT = 9000;
+  private static final Duration LIST_LAG = Duration.ofSeconds(6);
+
+  private final EventLoop loop;
+  private final RandomGenerator random;
+  private final List<MachineType> types;
+  private final int capacity;
+  private final Consumer<Machine> boot;
+  private final Consumer<Machine> end;
+  private final TreeMap<String, Machine> machines = new TreeMap<>();
+  private final Map<String, ArrayNode> rentals = new HashMap<>();
+  private ObjectNode listed = Json.object();
+  private int count;
+  private boolean down;
+
+  /** A rented machine. */
+  public static final class Machine {
+    final String name;
+    final String host;
+    final MachineType type;
+    final String zone;
+    final boolean spot;
+    final Duration since;
+    boolean up;
+
+    Machine(String name, String host, MachineType type, String zone, boolean spot, Duration now) {
+      this.name = name;
+      this.host = host;
+      this.type = type;
+      this.zone = zone;
+      this.spot = spot;
+      this.since = now;
+    }
+
+    String address() {
+      return host + ":" + PORT;
+    }
+  }
+
+  public StandInCloud(
+      EventLoop loop,
+      RandomGenerator random,
+      List<MachineType> types,
+      int capacity,
+      Consumer<Machine> boot,
+      Consumer<Machine> end) {
+    this.loop = loop;
+    this.random = random;
+    this.types = types;
+    this.capacity = capacity;
+    this.boot = boot;
+    this.end = end;
+    snapshot();
+  }
+
+  void setDown(boolean value) {
+    down = value;
+  }
+
+  /** The machines that the cloud has up. */
+  List<Machine> up() {
+    return machines.values().stream().filter(machine -> machine.up).toList();
+  }
+
+  /** The cloud takes a machine away. */
+  void take(String name) {
+    Machine machine = machines.remove(name);
+    if (machine != null) {
+      end.accept(machine);
+    }
+  }
+
+  @Override
+  public CompletableFuture<Reply> handle(Request request) {
+    if (down) {
+      return StandInState.done(503, Json.object().put("error", "trouble"));
+    }
+    CompletableFuture<Reply> result = new CompletableFuture<>();
+    loop.schedule(Duration.ofMillis(50 + random.nextLong(200)), () -> answer(request, result));
+    return result;
+  }
+
+  private void answer(Request request, CompletableFuture<Reply> result) {
+    try {
+      JsonNode body = request.body().length == 0 ? null : Json.parseObject(request.body());
+      switch (request.path()) {
+        case "/catalog" -> reply(result, CloudWire.encodeCatalog(types));
+        case "/machines/delete" -> {
+          body.path("spindles").forEach(name -> take(name.asText()));
+          reply(result, Json.object());
+        }
+        default -> {
+          if (request.method().equals("GET")) {
+            reply(result, listed);
+          } else {
+            rent(body, result);
+          }
+        }
+      }
+    } catch (WireException e) {
+      result.complete(Reply.json(400, new byte[0]));
+    }
+  }
+
+  private void rent(JsonNode body, CompletableFuture<Reply> result) {
+    String name = body.path("hire").asText();
+    ArrayNode names = rentals.get(name);
+    if (names == null) {
+      names = Json.array();
+      int wanted = body.path("how_many").intValue();
+      for (int i = 0; i < wanted && machines.size() < capacity; i++) {
+        names.add(
+            add(
+                body.path("build").asText(),
+                body.path("yard").asText(),
+                body.path("loaners").booleanValue(),
+                Duration.ofMillis(3000 + random.nextLong(12_000))));
+      }
+      if (names.isEmpty()) {
+        result.complete(Reply.json(503, Json.bytes(Json.object().put("error", "no capacity"))));
+        return;
+      }
+      rentals.put(name, names);
+    }
+    ObjectNode answer = Json.object();
+    answer.set("spindles", names);
+    reply(result, answer);
+  }
+
+  /** Adds a machine that boots in the given time. */
+  String add(String typeName, String zone, boolean spot, Duration bootTime) {
+    MachineType type =
+        types.stream().filter(item -> item.name().equals(typeName)).findFirst().orElseThrow();
+    String name = String.format("host-%06d", ++count);
+    Machine machine = new Machine(name, "10.1.0." + count, type, zone, spot, loop.now());
+    machines.put(name, machine);
+    loop.schedule(
+        bootTime,
+        () -> {
+          if (machines.get(name) == machine) {
+            machine.up = true;
+            boot.accept(machine);
+          }
+        });
+    return name;
+  }
+
+  /** The list shows the fleet as it was a while ago. */
+  private void snapshot() {
+    loop.schedule(Duration.ofSeconds(1), this::snapshot);
+    ObjectNode list = Json.object().put("has_next", false);
+    ArrayNode items = list.putArray("spindles");
+    for (Machine machine : machines.values()) {
+      items
+          .addObject()
+          .put("ref", machine.name)
+          .put("endpoint", machine.address())
+          .put("build", machine.type.name())
+          .put("yard", machine.zone)
+          .put("loaners", machine.spot)
+          .put("status", machine.up ? "running" : "booting")
+          .put("held_s", loop.now().minus(machine.since).toMillis() / 1e3);
+    }
+    loop.schedule(LIST_LAG, () -> listed = list);
+  }
+
+  private static void reply(CompletableFuture<Reply> result, JsonNode body) {
+    result.complete(Reply.json(200, Json.bytes(body)));
+  }
+}
