--- a/src/main/java/io/cherryspool/cli/Main.java
+++ b/src/main/java/io/cherryspool/cli/Main.java
@@ -82,6 +82,14 @@
         .orElse(BAD_SETTINGS);
   }
 
+  @Command(
+      name = "rehearse",
+      hidden = true,
+      description = "Loads what a starting node needs; the build makes the class-data archive so.")
+  int rehearse() throws Exception {
+    return Rehearsal.run();
+  }
+
   /** The version in the jar's manifest. */
   static final class Version implements IVersionProvider {
     @Override
--- a/src/test/java/io/cherryspool/sim/RuleChecker.java
+++ b/src/test/java/io/cherryspool/sim/RuleChecker.java
@@ -156,8 +156,8 @@
   }
 
   /**
-   * Keeps the first breach for {@link #check}: an error thrown inside a future's callback would only
-   * fail that future.
+   * Keeps the first breach for {@link #check}: an error thrown inside a future's callback would
+   * only fail that future.
    */
   void broken(boolean really, String rule, String what) {
     if (really && breach == null) {
