--- a/src/main/java/io/cherryspool/store/Budget.java
+++ b/src/main/java/io/cherryspool/store/Budget.java
@@ -47,8 +47,11 @@
   }
 
   public void setLeader(boolean leader) {
-    double leaderPart = nodes == 1 ? 1 : LEADER_WRITES;
-    writeRate = allWrites * (leader ? leaderPart : (1 - leaderPart) / Math.max(1, nodes - 1));
+    if (nodes == 1) {
+      writeRate = allWrites;
+    } else {
+      writeRate = allWrites * (leader ? LEADER_WRITES : (1 - LEADER_WRITES) / (nodes - 1));
+    }
   }
 
   /** The most changes one transaction of this use may hold if it is ever to be allowed. */
--- /dev/null
+++ b/src/test/java/io/cherryspool/config/ConfigTest.java
@@ -0,0 +1,89 @@
+package io.cherryspool.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ConfigTest {
+  private static final String GOOD =
+      "{'host_name':'n0','site':'a','client_listen':'127.0.0.1:8080','mesh_addr':'127.0.0.1:8081',"
+          + "'known':[{'host_name':'n1','site':'b','endpoint':'127.0.0.2:8081'}],"
+          + "'services':{'cloud':'127.0.0.3:8443','state':'127.0.0.3:2379'},'later':{},"
+          + "'facts':{'teams':[{'name':'red','cpus':4.0,'cpus_max':8.0}],"
+          + "'workers':{'report_s':2.5,'lease_s':16.0,'cancel_s':36.0},"
+          + "'state':{'rps':150.0,'write_rps':60.0,'value_kb':16.0,'txn_ops':48},"
+          + "'cloud':{'rps':6.0,'list_lag_s':6.0},'resources':{'fd_limit':1800}}}";
+
+  private static ObjectNode good() throws Exception {
+    return (ObjectNode) new ObjectMapper().readTree(GOOD.replace('\'', '"'));
+  }
+
+  @Test
+  void readsSettingsAndIgnoresWhatIsNew() throws Exception {
+    Settings settings = Settings.parse(good(), "test");
+    assertEquals(Duration.ofMillis(2500), settings.report());
+    assertEquals(16 * 1024, settings.stateLimits().valueBytes());
+    assertEquals("n1", settings.peers().get(0).name());
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "host_name",
+    "client_listen",
+    "mesh_addr",
+    "known",
+    "services",
+    "services/state",
+    "facts",
+    "facts/teams",
+    "facts/workers/lease_s",
+    "facts/workers/cancel_s",
+    "facts/state/rps",
+    "facts/state/txn_ops",
+    "facts/cloud/rps",
+    "facts/resources/fd_limit"
+  })
+  void namesTheFieldThatIsMissing(String path) throws Exception {
+    ObjectNode root = good();
+    int slash = path.lastIndexOf('/');
+    ObjectNode parent = slash < 0 ? root : (ObjectNode) root.at("/" + path.substring(0, slash));
+    parent.remove(path.substring(slash + 1));
+    ConfigException e =
+        assertThrows(ConfigException.class, () -> Settings.parse(root, "file.json"));
+    assertTrue(e.getMessage().contains(path.replace('/', '.')), e.getMessage());
+    assertTrue(e.getMessage().startsWith("file.json"), e.getMessage());
+  }
+
+  @Test
+  void operatorsSettingsAreCheckedAndOptional(@TempDir Path folder) throws Exception {
+    Path file = folder.resolve("cherryspool.xml");
+    assertEquals(OperatorSettings.DEFAULTS, OperatorSettings.load(file));
+    Files.writeString(file, "<cherryspool><failure-cap>7</failure-cap></cherryspool>");
+    assertEquals(7, OperatorSettings.load(file).failureCap());
+    for (String wrong :
+        new String[] {
+          "<cherryspool><failure-cap>none</failure-cap></cherryspool>",
+          "<cherryspool><failure-cap>0</failure-cap></cherryspool>",
+          "<cherryspool><failure-cap>3</failure-cap><failure-cap>4</failure-cap></cherryspool>",
+          "<cherryspool><failurecap>3</failurecap></cherryspool>",
+          "<spool/>",
+          "<cherryspool>",
+          "<!DOCTYPE x [<!ENTITY e SYSTEM 'file:///etc/hostname'>]><cherryspool/>"
+        }) {
+      Files.writeString(file, wrong);
+      ConfigException e =
+          assertThrows(ConfigException.class, () -> OperatorSettings.load(file), wrong);
+      assertTrue(!e.getMessage().contains("\n"), e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/cherryspool/controller/FenceTest.java
@@ -0,0 +1,144 @@
+package io.cherryspool.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cherryspool.model.Attempt;
+import io.cherryspool.model.Job;
+import io.cherryspool.model.Order;
+import io.cherryspool.model.Priority;
+import io.cherryspool.model.Report;
+import io.cherryspool.model.Resources;
+import io.cherryspool.model.TaskId;
+import io.cherryspool.store.JobEntryFixture;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What counts as proof that a task's attempt has ended, case by case. */
+class FenceTest {
+  private static final TaskId TASK = new TaskId("req-000001", 0);
+  private static final Duration START = Duration.ofSeconds(100);
+  private static final Duration LEASE = Duration.ofSeconds(16);
+  private static final Duration AUTHORITY = Duration.ofSeconds(12);
+
+  private final Timings timings =
+      new Timings(
+          Duration.ofSeconds(2),
+          AUTHORITY,
+          LEASE,
+          Duration.ofSeconds(1),
+          Duration.ofSeconds(4),
+          Duration.ofSeconds(1),
+          Duration.ofSeconds(2),
+          Duration.ofSeconds(5));
+  private final Tokens tokens = new Tokens(5);
+  private final Stops stops = new Stops();
+  private final Judge judge = new Judge(timings, tokens, stops, START);
+  private final Orders orders = new Orders(stops, tokens);
+  private final MachineState machine = new MachineState("host-1", "box", "a", false, START);
+  private final Job job =
+      new Job(
+          "req-000001",
+          "lane",
+          "red",
+          Priority.NORMAL,
+          1,
+          new Resources(1, 0, 1),
+          "img",
+          1,
+          null,
+          null,
+          false,
+          false,
+          true,
+          Duration.ofSeconds(10),
+          Duration.ZERO,
+          Duration.ZERO,
+          null,
+          Instant.EPOCH);
+  private final Ownership.Owned owned =
+      new Ownership.Owned(
+          JobEntryFixture.of(job), TASK, new Attempt(0, "host-1", 3, 1, tokens.base() - 7));
+  private long sequence;
+
+  private void hears(long session, long token, Report.State state, Report.Cause cause) {
+    List<Report.TaskReport> tasks =
+        state == null ? List.of() : List.of(new Report.TaskReport(TASK, 1, state, cause));
+    Report report =
+        new Report(
+            "host-1", "127.0.0.1:1", "box", "a", false, session, ++sequence, token, null, tasks);
+    assertTrue(machine.accept(report, START.plusSeconds(1)));
+  }
+
+  private Judge.Verdict at(double seconds) {
+    return judge.judge(owned, machine, START.plusMillis((long) (seconds * 1000)));
+  }
+
+  @Test
+  void absenceProvesNothingWhileAStartMayStillRun() {
+    stops.add(TASK, 1, Duration.ZERO);
+    hears(3, tokens.base() - 1, null, null);
+    assertEquals(Judge.Verdict.NEEDS_FENCE, at(2), "an earlier leader's start is not fenced yet");
+    hears(3, tokens.current(), null, null);
+    assertEquals(Judge.Verdict.ENDED, at(2));
+    machine.started.put(Order.start(TASK, 1), tokens.current());
+    assertEquals(Judge.Verdict.NEEDS_FENCE, at(2), "this leader's own start may be on its way");
+    tokens.next();
+    hears(3, tokens.current(), null, null);
+    assertEquals(Judge.Verdict.ENDED, at(2));
+  }
+
+  @Test
+  void absenceProvesNothingOfATaskThatIsStillWanted() {
+    hears(3, tokens.current(), null, null);
+    assertEquals(Judge.Verdict.OWNED, at(2));
+    assertEquals(List.of(Order.start(TASK, 1)), orders.of(machine, List.of(owned)));
+  }
+
+  /** After it is forgotten, a start that is still under way would run the attempt once more. */
+  @Test
+  void anEndedAttemptIsNeitherFreedNorForgottenWhileACommandHasNoAnswer() {
+    machine.unanswered = tokens.current();
+    hears(3, tokens.current(), Report.State.EXITED, Report.Cause.ERROR);
+    assertEquals(Judge.Verdict.NEEDS_FENCE, at(2));
+    assertEquals(List.of(), orders.of(machine, List.of()), "not forgotten either");
+    tokens.next();
+    hears(3, tokens.current(), Report.State.EXITED, Report.Cause.ERROR);
+    assertEquals(Judge.Verdict.FAILED, at(2));
+    assertEquals(List.of(Order.forget(TASK, 1)), orders.of(machine, List.of()));
+  }
+
+  @Test
+  void aLaterSessionOrADeletionIsProofAndAnOlderMessageIsNot() {
+    hears(4, tokens.base() - 1, null, null);
+    assertEquals(Judge.Verdict.LAPSED, at(2));
+    Report old = new Report("host-1", "127.0.0.1:1", "box", "a", false, 3, 99, 0, null, List.of());
+    assertEquals(false, machine.accept(old, START));
+    MachineState deleted = new MachineState("host-1", "box", "a", false, START);
+    deleted.gone = true;
+    assertEquals(Judge.Verdict.LAPSED, judge.judge(owned, deleted, START));
+  }
+
+  @Test
+  void aSilentMachineLapsesOnlyWhenNoLeaderCanHaveKeptItAlive() {
+    double earlier = AUTHORITY.toSeconds() + LEASE.toSeconds();
+    assertEquals(Judge.Verdict.OWNED, at(earlier - 0.1), "a cut-off leader may still answer it");
+    assertEquals(Judge.Verdict.LAPSED, at(earlier + 0.1));
+    assertEquals(
+        Judge.Verdict.OWNED,
+        judge.judge(owned, null, START.plusMillis((long) (earlier * 1000) - 100)),
+        "nor is a machine never heard of any sooner free");
+    hears(3, tokens.current(), Report.State.RUNNING, null);
+    machine.answered = START.plusSeconds(4);
+    assertEquals(Judge.Verdict.OWNED, at(4 + LEASE.toSeconds() - 0.1));
+    assertEquals(Judge.Verdict.LAPSED, at(4 + LEASE.toSeconds() + 0.1));
+  }
+
+  @Test
+  void aTaskThatTheRecordsGiveToNobodyIsStopped() {
+    hears(3, tokens.current(), Report.State.RUNNING, null);
+    assertEquals(List.of(Order.stop(TASK, 1, Duration.ZERO)), orders.of(machine, List.of()));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/cherryspool/http/LoopbackTest.java
@@ -0,0 +1,114 @@
+package io.cherryspool.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The HTTP parts over real sockets. */
+class LoopbackTest {
+  private final NettyLoop loop = new NettyLoop();
+  private final CompletableFuture<Reply> never = new CompletableFuture<>();
+  private NettyServer server;
+  private Endpoint address;
+
+  @BeforeEach
+  void bind() throws InterruptedException {
+    server = new NettyServer(loop, this::handle, 8);
+    server.bind(new Endpoint("127.0.0.1", 0));
+    address = new Endpoint("127.0.0.1", server.port());
+  }
+
+  @AfterEach
+  void shutdown() throws InterruptedException {
+    loop.shutdown();
+    loop.join();
+  }
+
+  private CompletableFuture<Reply> handle(Request request) {
+    return switch (request.path()) {
+      case "/never" -> never;
+      case "/broken" -> throw new IllegalStateException("a defect");
+      default ->
+          CompletableFuture.completedFuture(
+              Reply.retry(200, request.body(), request.path().equals("/later") ? 3 : 0));
+    };
+  }
+
+  private Reply send(Request request, Duration deadline) throws Exception {
+    NettyClient client = new NettyClient(loop);
+    CompletableFuture<Reply> result = new CompletableFuture<>();
+    loop.execute(
+        () ->
+            client
+                .send(address, request, deadline)
+                .whenComplete(
+                    (reply, failure) -> {
+                      if (failure == null) {
+                        result.complete(reply);
+                      } else {
+                        result.completeExceptionally(failure);
+                      }
+                    }));
+    return result.get(20, TimeUnit.SECONDS);
+  }
+
+  private String raw(String text) throws IOException {
+    try (Socket socket = new Socket(address.host(), address.port())) {
+      socket.setSoTimeout(20_000);
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+      byte[] answer = new byte[2000];
+      int length = socket.getInputStream().read(answer);
+      return length < 0 ? "" : new String(answer, 0, length, StandardCharsets.UTF_8);
+    }
+  }
+
+  @Test
+  void answersComeBackAndADefectIsNotTheEnd() throws Exception {
+    byte[] body = "x".repeat(60_000).getBytes(StandardCharsets.UTF_8);
+    assertEquals(60_000, send(Request.post("/echo", body), Duration.ofSeconds(20)).body().length);
+    assertEquals(503, send(Request.get("/broken"), Duration.ofSeconds(20)).status());
+    assertEquals(200, send(Request.get("/echo"), Duration.ofSeconds(20)).status());
+  }
+
+  @Test
+  void aCallWithoutAnAnswerEndsAtItsDeadline() {
+    assertThrows(
+        ExecutionException.class, () -> send(Request.get("/never"), Duration.ofMillis(50)));
+  }
+
+  @Test
+  void whatIsTooLongOrMalformedIsRefused() throws Exception {
+    String head = "POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n";
+    assertTrue(raw(head + "x".repeat(70_000)).startsWith("HTTP/1.1 413"));
+    assertTrue(raw("nonsense\r\n\r\n").startsWith("HTTP/1.1 400"));
+    assertTrue(
+        raw("GET /later HTTP/1.1\r\nHost: x\r\n\r\n").toLowerCase().contains("retry-after: 3"));
+  }
+
+  @Test
+  void connectionsAreBounded() throws Exception {
+    Socket[] kept = new Socket[8];
+    for (int i = 0; i < kept.length; i++) {
+      kept[i] = new Socket(address.host(), address.port());
+    }
+    try {
+      assertThrows(
+          ExecutionException.class, () -> send(Request.get("/echo"), Duration.ofSeconds(20)));
+    } finally {
+      for (Socket socket : kept) {
+        socket.close();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/cherryspool/store/GroupCommitTest.java
@@ -0,0 +1,81 @@
+package io.cherryspool.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.http.Reply;
+import io.cherryspool.sim.StandInState;
+import io.cherryspool.sim.VirtualTime;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.StateWire;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+class GroupCommitTest {
+  private final VirtualTime time = new VirtualTime();
+  private final StandInState state = new StandInState(time, new SplittableRandom(1), 0);
+  private final StateClient client =
+      new StateClient(
+          (to, request, deadline) -> {
+            CompletableFuture<Reply> result = new CompletableFuture<>();
+            time.schedule(
+                Duration.ofMillis(5), () -> state.handle(request).thenAccept(result::complete));
+            return result;
+          },
+          new Endpoint("127.0.0.1", 1),
+          Duration.ofSeconds(1));
+
+  private GroupCommit commits(double writeRps, int maxQueue) {
+    Budget budget = new Budget(time, 1, 1000, writeRps);
+    return new GroupCommit(time, client, budget, 8, maxQueue, Duration.ofSeconds(1));
+  }
+
+  private static CompletableFuture<Boolean> put(GroupCommit commits, String key) {
+    return commits.submit(
+        Budget.Use.SUBMIT,
+        Map.of(key, 0L),
+        new StateWire.Change(key, Json.object().put("x", 1), 0));
+  }
+
+  private void run(double seconds) {
+    Duration end = time.now().plusMillis((long) (seconds * 1000));
+    while (time.step(end)) {
+      // Each step may schedule more.
+    }
+  }
+
+  @Test
+  void oneKnownKeyDoesNotFailTheOthers() {
+    GroupCommit commits = commits(1000, 100);
+    put(commits, "c/a");
+    run(1);
+    List<CompletableFuture<Boolean>> results = new ArrayList<>();
+    for (String key : List.of("c/b", "c/a", "c/c", "c/c")) {
+      results.add(put(commits, key));
+    }
+    run(1);
+    assertEquals(
+        List.of(true, false, true, false), results.stream().map(f -> f.getNow(null)).toList());
+  }
+
+  /** Users are told to come back at once rather than held until their deadline. */
+  @Test
+  void whatTheBudgetCantTakeIsRefusedWithinASecond() {
+    GroupCommit commits = commits(5, 20);
+    List<CompletableFuture<Boolean>> results = new ArrayList<>();
+    for (int i = 0; i < 100; i++) {
+      results.add(put(commits, "c/" + i));
+    }
+    assertTrue(results.get(99).isCompletedExceptionally(), "the queue is bounded");
+    run(2);
+    assertTrue(results.stream().allMatch(CompletableFuture::isDone), "nothing waits for long");
+    long taken = results.stream().filter(f -> !f.isCompletedExceptionally()).count();
+    assertTrue(taken >= 4 && taken <= 15, "taken " + taken);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/cherryspool/store/RecordsTest.java
@@ -0,0 +1,50 @@
+package io.cherryspool.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cherryspool.model.Shard;
+import io.cherryspool.wire.Json;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class RecordsTest {
+  @Test
+  void randomProgressSurvivesWritingAndReading() throws Exception {
+    SplittableRandom random = new SplittableRandom(7);
+    for (int run = 0; run < 200; run++) {
+      Shard shard = Shard.EMPTY;
+      for (int step = 0; step < 60; step++) {
+        int task = random.nextInt(40);
+        Shard.Editor editor = shard.edit();
+        if (shard.owner(task) != null) {
+          shard =
+              random.nextBoolean()
+                  ? editor.complete(task).build()
+                  : editor.release(task, random.nextBoolean()).build();
+        } else if (!shard.isDone(task)) {
+          shard = editor.assign(task, "host-" + task, 1 + task, step).build();
+        }
+      }
+      Shard read = Records.readShard(Json.parseObject(Json.bytes(Records.shard(shard))));
+      for (int task = 0; task < 40; task++) {
+        assertEquals(shard.isDone(task), read.isDone(task));
+        assertEquals(shard.owner(task), read.owner(task));
+        assertEquals(shard.history(task), read.history(task));
+      }
+    }
+  }
+
+  /** A record that outgrew the service's limit could never be committed, and its job never end. */
+  @Test
+  void aFullShardKeepsWithinTheLimitOnValues() {
+    int limit = 8 * 1024;
+    int tasks = Records.tasksPerShard(limit);
+    Shard.Editor editor = Shard.EMPTY.edit();
+    for (int task = 99_000; task < 99_000 + tasks; task++) {
+      editor.history(task, new Shard.History(120, 15));
+      editor.assign(task, "host-" + (100_000 + task), 12, (1L << 50) + task);
+    }
+    assertTrue(Json.bytes(Records.shard(editor.build())).length <= limit);
+  }
+}
