--- a/src/main/java/io/cherryspool/cli/Rehearsal.java
+++ b/src/main/java/io/cherryspool/cli/Rehearsal.java
@@ -19,6 +19,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.jar.JarEntry;
@@ -94,6 +95,7 @@
         self,
         self,
         List.of(),
+        Map.of(),
         Duration.ofSeconds(2),
         Duration.ofSeconds(10),
         Duration.ofSeconds(30),
--- a/src/main/java/io/cherryspool/config/Settings.java
+++ b/src/main/java/io/cherryspool/config/Settings.java
@@ -9,9 +9,16 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
-/** The settings that the platform hands over, as JSON. Fields it adds later are ignored. */
+/**
+ * The settings that the platform hands over, as JSON. Fields it adds later are ignored.
+ *
+ * @param deadlineTimes by class, the multiples of the deadline that the aims name, rising
+ */
 public record Settings(
     String name,
     String zone,
@@ -21,6 +28,7 @@
     Endpoint cloud,
     Endpoint state,
     List<Team> teams,
+    Map<String, List<Double>> deadlineTimes,
     Duration report,
     Duration workerLease,
     Duration cancelWithin,
@@ -67,6 +75,15 @@
               team.number("gpus", 0),
               team.number("gpus_max", 0)));
     }
+    Map<String, List<Double>> deadlineTimes = new HashMap<>();
+    for (Reader objective : facts.optionalList("objectives")) {
+      if ("deadline".equals(objective.text("kind"))) {
+        deadlineTimes
+            .computeIfAbsent(objective.text("class"), key -> new ArrayList<>())
+            .add(objective.positive("times"));
+      }
+    }
+    deadlineTimes.values().forEach(Collections::sort);
     Duration lease = workers.seconds("lease_s");
     Duration cancel = workers.seconds("cancel_s");
     if (cancel.compareTo(lease) <= 0) {
@@ -82,6 +99,7 @@
         services.endpoint("cloud"),
         services.endpoint("state"),
         List.copyOf(teams),
+        deadlineTimes,
         workers.seconds("report_s"),
         lease,
         cancel,
@@ -120,6 +138,11 @@
       return new Reader(origin, under(field), found);
     }
 
+    List<Reader> optionalList(String field) throws ConfigException {
+      JsonNode found = node.path(field);
+      return found.isMissingNode() || found.isNull() ? List.of() : list(field);
+    }
+
     List<Reader> list(String field) throws ConfigException {
       JsonNode found = node.path(field);
       if (!found.isArray()) {
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -52,6 +52,7 @@
   private final Stops stops;
   private final Tokens tokens;
   private final Map<String, Team> teams;
+  private final Map<String, List<Double>> deadlineTimes;
   private final Supplier<List<MachineType>> catalog;
   private final Duration roundMax;
   private final Duration reportLimit;
@@ -90,6 +91,7 @@
     this.stops = stops;
     this.tokens = tokens;
     this.teams = teams;
+    this.deadlineTimes = limits.deadlineTimes();
     this.catalog = catalog;
     this.roundMax = limits.roundMax();
     this.reportLimit = limits.silence();
@@ -100,7 +102,12 @@
   }
 
   /** A round's sizes and times, from the settings. */
-  record Limits(Duration roundMax, Duration silence, int failureCap, int maxChanges) {}
+  record Limits(
+      Duration roundMax,
+      Duration silence,
+      int failureCap,
+      int maxChanges,
+      Map<String, List<Double>> deadlineTimes) {}
 
   @Override
   public void start() {
@@ -291,7 +298,14 @@
     }
     RoundPlan plan =
         Placement.plan(
-            new ClusterView(wall.get(), jobs, machines, teams, ownership.byTeam(), catalog.get()));
+            new ClusterView(
+                wall.get(),
+                jobs,
+                machines,
+                teams,
+                ownership.byTeam(),
+                catalog.get(),
+                deadlineTimes));
     unplaced = plan.unplaced();
     for (RoundPlan.Assignment item : plan.assignments()) {
       JobEntry entry = replica.job(item.job());
--- a/src/main/java/io/cherryspool/scheduler/ClusterView.java
+++ b/src/main/java/io/cherryspool/scheduler/ClusterView.java
@@ -18,7 +18,8 @@
     List<MachineView> machines,
     Map<String, Team> teams,
     Map<String, Resources> teamUse,
-    List<MachineType> catalog) {
+    List<MachineType> catalog,
+    Map<String, List<Double>> deadlineTimes) {
 
   /**
    * A job with its free tasks. {@code held} counts those that the failure cap keeps back; they are
--- a/src/main/java/io/cherryspool/scheduler/Placement.java
+++ b/src/main/java/io/cherryspool/scheduler/Placement.java
@@ -36,7 +36,7 @@
 
   public static RoundPlan plan(ClusterView view) {
     Placement placement = new Placement(view);
-    QueueOrder.of(view.jobs()).forEach(placement::place);
+    QueueOrder.of(view).forEach(placement::place);
     return new RoundPlan(
         placement.assignments,
         Preemption.plan(view, placement.unplaced, placement.assignments),
--- a/src/test/java/io/cherryspool/scheduler/PlacementTest.java
+++ b/src/test/java/io/cherryspool/scheduler/PlacementTest.java
@@ -82,7 +82,13 @@
   private static RoundPlan plan(List<JobView> jobs, List<MachineView> machines, Team team) {
     return Placement.plan(
         new ClusterView(
-            Instant.EPOCH, jobs, machines, Map.of("red", team), Map.of(), List.of(SMALL, LARGE)));
+            Instant.EPOCH,
+            jobs,
+            machines,
+            Map.of("red", team),
+            Map.of(),
+            List.of(SMALL, LARGE),
+            Map.of()));
   }
 
   @Test
--- a/src/test/java/io/cherryspool/sim/Simulation.java
+++ b/src/test/java/io/cherryspool/sim/Simulation.java
@@ -111,6 +111,7 @@
               CLOUD,
               STATE,
               teams,
+              Map.of(),
               REPORT,
               LEASE,
               CANCEL,
