--- a/src/main/java/io/cherryspool/config/OperatorSettings.java
+++ b/src/main/java/io/cherryspool/config/OperatorSettings.java
@@ -23,7 +23,7 @@
     Duration roundMax, Duration stateLease, int failureCap, Duration idleKeep) {
   public static final OperatorSettings DEFAULTS =
       new OperatorSettings(
-          Duration.ofSeconds(1), Duration.ofSeconds(4), 20, Duration.ofSeconds(60));
+          Duration.ofSeconds(1), Duration.ofSeconds(4), 20, Duration.ofSeconds(40));
 
   /** Reads the file; the defaults where there is none. */
   public static OperatorSettings load(Path file) throws ConfigException {
--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Rental.java
@@ -324,7 +324,7 @@
     List<FleetPlan.Idle> result = new ArrayList<>();
     for (MachineState machine : fleet.all()) {
       if (!machine.gone && !machine.deleting && machine.idleSince != null) {
-        result.add(new FleetPlan.Idle(machine.name, now.minus(machine.idleSince)));
+        result.add(new FleetPlan.Idle(machine.name, machine.spot, now.minus(machine.idleSince)));
       }
     }
     return result;
--- a/src/main/java/io/cherryspool/scheduler/FleetPlan.java
+++ b/src/main/java/io/cherryspool/scheduler/FleetPlan.java
@@ -24,7 +24,7 @@
   }
 
   /** An idle machine. */
-  public record Idle(String name, Duration idleFor) {}
+  public record Idle(String name, boolean spot, Duration idleFor) {}
 
   /** What the fleet is planned from. {@code soldOut} holds the offers refused a short while ago. */
   public record View(
@@ -57,11 +57,12 @@
     return plan.rentals;
   }
 
-  /** Which idle machines to give back; none while work waits. */
+  /** Which idle machines to give back; ordinary ones, which cost more, after half the time. */
   public static List<String> returns(View view) {
     List<String> names = new ArrayList<>();
     for (Idle idle : view.idle()) {
-      if (idle.idleFor().compareTo(view.idleKeep()) >= 0) {
+      Duration keep = idle.spot() ? view.idleKeep() : view.idleKeep().dividedBy(2);
+      if (idle.idleFor().compareTo(keep) >= 0) {
         names.add(idle.name());
       }
     }
--- a/src/main/java/io/cherryspool/scheduler/Placement.java
+++ b/src/main/java/io/cherryspool/scheduler/Placement.java
@@ -17,6 +17,9 @@
  * the image, or is fetching it, is preferred, then the tightest fit.
  */
 public final class Placement {
+  /** How much room left over a cheaper hour of a CPU is worth. */
+  private static final double CPUS_PER_PRICE = 100;
+
   private final ClusterView view;
   private final Map<String, Resources> use;
   private final List<Bin> bins = new ArrayList<>();
@@ -123,11 +126,17 @@
         && !machine.shunnedBy().contains(job.id());
   }
 
-  /** Smaller is better: waiting for the image counts first, then the room left over. */
+  /**
+   * Smaller is better: waiting for the image counts first, then the room left over and the price,
+   * so that dear machines fall idle first and can be given back.
+   */
   private static double score(Job job, Bin bin) {
     double fetch = bin.images.contains(job.image()) ? 0 : job.imageGb() / rate(bin) * 10;
     Resources left = bin.free.minus(job.perTask());
-    return fetch + left.cpus() + left.memoryGb() / 8;
+    MachineView machine = bin.machine;
+    double price = machine.spot() ? machine.type().spotPrice() : machine.type().price();
+    double perCpu = price / Math.max(1, machine.type().size().cpus());
+    return fetch + left.cpus() + left.memoryGb() / 8 + CPUS_PER_PRICE * perCpu;
   }
 
   private static double rate(Bin bin) {
