--- a/src/main/java/io/cherryspool/scheduler/Placement.java
+++ b/src/main/java/io/cherryspool/scheduler/Placement.java
@@ -26,6 +26,7 @@
   private final Map<String, Map<String, Integer>> zones = new HashMap<>();
   private final List<RoundPlan.Assignment> assignments = new ArrayList<>();
   private final List<RoundPlan.Unplaced> unplaced = new ArrayList<>();
+  private final List<RoundPlan.Unplaced> atLimit = new ArrayList<>();
 
   private Placement(ClusterView view) {
     this.view = view;
@@ -42,7 +43,8 @@
     QueueOrder.of(view).forEach(placement::place);
     return new RoundPlan(
         placement.assignments,
-        Preemption.plan(view, placement.unplaced, placement.assignments),
+        Preemption.plan(
+            view, placement.unplaced, placement.atLimit, placement.use, placement.assignments),
         placement.unplaced);
   }
 
@@ -69,6 +71,7 @@
     for (int task : entry.tasks()) {
       Resources after = use.getOrDefault(job.team(), Resources.NONE).plus(job.perTask());
       if (team == null || !team.allows(after)) {
+        atLimit.add(new RoundPlan.Unplaced(job, left));
         return;
       }
       Bin best = best(job, perZone, left);
--- a/src/main/java/io/cherryspool/scheduler/Preemption.java
+++ b/src/main/java/io/cherryspool/scheduler/Preemption.java
@@ -3,6 +3,7 @@
 import io.cherryspool.model.Job;
 import io.cherryspool.model.Priority;
 import io.cherryspool.model.Resources;
+import io.cherryspool.model.Team;
 import io.cherryspool.scheduler.ClusterView.MachineView;
 import io.cherryspool.scheduler.ClusterView.RunningTask;
 import java.time.Duration;
@@ -20,7 +21,11 @@
   private Preemption() {}
 
   static List<RoundPlan.Stop> plan(
-      ClusterView view, List<RoundPlan.Unplaced> waiting, List<RoundPlan.Assignment> assignments) {
+      ClusterView view,
+      List<RoundPlan.Unplaced> waiting,
+      List<RoundPlan.Unplaced> atLimit,
+      Map<String, Resources> teamUse,
+      List<RoundPlan.Assignment> assignments) {
     List<RoundPlan.Stop> stops = new ArrayList<>();
     Map<String, Resources> taken = new HashMap<>();
     Map<String, Job> jobs = new HashMap<>();
@@ -41,9 +46,71 @@
         }
       }
     }
+    Map<String, Resources> use = new HashMap<>(teamUse);
+    for (Room room : rooms) {
+      for (RunningTask task : room.machine.running()) {
+        if (task.stopping() || stopped(task, stops)) {
+          use.merge(task.job().team(), task.job().perTask(), (all, one) -> all.minus(one));
+        }
+      }
+    }
+    for (RoundPlan.Unplaced item : atLimit) {
+      makeAllowance(item, view.teams().get(item.job().team()), use, rooms, stops);
+    }
     return stops;
   }
 
+  private static boolean stopped(RunningTask task, List<RoundPlan.Stop> stops) {
+    return stops.stream().anyMatch(stop -> stop.task().equals(task.task()));
+  }
+
+  /**
+   * A team's own lower work gives way when it alone keeps the team's pressing job at the team's
+   * limit; otherwise an urgent job would wait for its own team's long ones.
+   */
+  private static void makeAllowance(
+      RoundPlan.Unplaced item,
+      Team team,
+      Map<String, Resources> use,
+      List<Room> rooms,
+      List<RoundPlan.Stop> stops) {
+    Job job = item.job();
+    Resources total = use.getOrDefault(job.team(), Resources.NONE);
+    int left = team == null || job.oneZone() || job.spread() ? 0 : item.tasks();
+    while (left > 0) {
+      Resources after = total.plus(job.perTask());
+      if (team.allows(after)) {
+        total = after;
+        left--;
+        continue;
+      }
+      Room from = null;
+      RunningTask victim = null;
+      for (Room room : rooms) {
+        MachineView machine = room.machine;
+        if (!Rules.allows(job, machine.type(), machine.zone(), machine.spot())) {
+          continue;
+        }
+        for (RunningTask task : room.candidates) {
+          boolean lower = task.job().priority().compareTo(job.priority()) < 0;
+          if (lower
+              && task.job().team().equals(job.team())
+              && (victim == null || loss(task) < loss(victim))) {
+            from = room;
+            victim = task;
+          }
+        }
+      }
+      if (victim == null) {
+        break;
+      }
+      from.candidates.remove(victim);
+      total = total.minus(victim.job().perTask());
+      stops.add(new RoundPlan.Stop(victim.task(), grace(victim.job())));
+    }
+    use.put(job.team(), total);
+  }
+
   private static boolean makeRoom(Job job, List<Room> rooms, List<RoundPlan.Stop> stops) {
     if (job.priority() == Priority.LOW || job.oneZone() || job.spread()) {
       return false;
--- a/src/test/java/io/cherryspool/scheduler/PlacementTest.java
+++ b/src/test/java/io/cherryspool/scheduler/PlacementTest.java
@@ -130,6 +130,33 @@
         "stopping all lower work would still not make room");
   }
 
+  /** An urgent job once waited for its own team's long tasks, which filled the team's limit. */
+  @Test
+  void aTeamsLowerWorkGivesWayAtTheTeamsLimit() {
+    Job normal = job("req-000001", Priority.NORMAL, 2, 4);
+    Job high = job("req-000002", Priority.HIGH, 3, 2);
+    List<RunningTask> running = new ArrayList<>();
+    for (int i = 0; i < 2; i++) {
+      running.add(
+          new RunningTask(new TaskId("req-000001", i), normal, Duration.ofSeconds(5 + i), false));
+    }
+    RoundPlan plan =
+        Placement.plan(
+            new ClusterView(
+                Instant.EPOCH,
+                List.of(free(high)),
+                List.of(machine("m", LARGE, running)),
+                Map.of("red", new Team("red", 0, 10, 0, 0)),
+                Map.of("red", normal.perTask().times(2)),
+                List.of(LARGE),
+                Map.of()));
+    assertEquals(1, plan.assignments().size(), "what the limit still allows");
+    assertEquals(
+        List.of(new TaskId("req-000001", 0)),
+        plan.stops().stream().map(RoundPlan.Stop::task).toList(),
+        "one stop lets in the other two");
+  }
+
   @Test
   void randomPlansObeyEveryLimit() {
     for (int seed = 0; seed < 400; seed++) {
