--- a/src/main/java/io/cherryspool/cli/Rehearsal.java
+++ b/src/main/java/io/cherryspool/cli/Rehearsal.java
@@ -18,6 +18,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -113,7 +114,7 @@
       return;
     }
     try (JarFile jar = new JarFile(home.toFile())) {
-      for (JarEntry entry : java.util.Collections.list(jar.entries())) {
+      for (JarEntry entry : Collections.list(jar.entries())) {
         String name = entry.getName();
         if (name.startsWith("io/cherryspool/") && name.endsWith(".class")) {
           Class.forName(name.substring(0, name.length() - 6).replace('/', '.'));
--- a/src/main/java/io/cherryspool/controller/Reign.java
+++ b/src/main/java/io/cherryspool/controller/Reign.java
@@ -6,13 +6,16 @@
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Order;
 import io.cherryspool.model.Report;
+import io.cherryspool.model.Team;
 import io.cherryspool.model.Token;
 import io.cherryspool.store.Replica;
 import io.cherryspool.wire.WorkerWire;
 import io.cherryspool.worker.WorkerClient;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
@@ -104,9 +107,7 @@
 
   /** What does not change with the term. */
   record Cluster(
-      java.util.Map<String, io.cherryspool.model.Team> teams,
-      Supplier<List<MachineType>> catalog,
-      Supplier<java.time.Instant> wall) {}
+      Map<String, Team> teams, Supplier<List<MachineType>> catalog, Supplier<Instant> wall) {}
 
   /** The cloud's limits and how long idle machines are kept. */
   record RentalLimits(double cloudRps, Duration listLag, Duration idleKeep) {}
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -286,7 +286,6 @@
   private void place(Ownership ownership, Map<String, JobEdit> edits) {
     Map<String, MachineType> types = new HashMap<>();
     catalog.get().forEach(type -> types.put(type.name(), type));
-    Set<TaskId> freed = new HashSet<>();
     Duration now = loop.now();
     Map<String, Map<String, Integer>> perZone = new HashMap<>();
     List<ClusterView.MachineView> machines = machines(ownership, types, perZone, now);
@@ -321,7 +320,7 @@
       JobEntry entry = replica.job(stop.task().job());
       int number = stop.task().number();
       Attempt attempt = entry.shard(entry.shardOf(number)).shard().owner(number);
-      if (attempt != null && !freed.contains(stop.task())) {
+      if (attempt != null) {
         LOG.info("stopping {} on {} for work of higher priority", stop.task(), attempt.machine());
         stops.add(stop.task(), attempt.number(), stop.grace());
       }
--- a/src/main/java/io/cherryspool/controller/Timings.java
+++ b/src/main/java/io/cherryspool/controller/Timings.java
@@ -9,15 +9,14 @@
  *
  * @param authority how long after sending its last confirmed renewal a leader may keep workers
  *     alive. A task on a machine that only a cut-off leader still hears must be gone within the
- *     cancel limit, so authority, worker lease and margin together stay below it.
+ *     cancel limit, so authority, worker lease and margin together stay below it. The margins are
+ *     for clock drift and for messages late within their deadlines.
  * @param lapse how long after a worker was last kept alive its tasks are surely gone
- * @param margin for clock drift between two machines and messages late within their deadlines
  */
 public record Timings(
     Duration report,
     Duration authority,
     Duration lapse,
-    Duration margin,
     Duration stateLease,
     Duration stateCall,
     Duration workerCall,
@@ -35,7 +34,6 @@
         settings.report(),
         authority,
         lease.plus(lease.dividedBy(500)).plusMillis(500),
-        margin,
         operators.stateLease(),
         call,
         settings.report().compareTo(Duration.ofSeconds(2)) < 0
--- a/src/main/java/io/cherryspool/http/NettyClient.java
+++ b/src/main/java/io/cherryspool/http/NettyClient.java
@@ -26,6 +26,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /** HTTP client on the node's loop: kept connections per address, a deadline on every call. */
@@ -62,7 +63,7 @@
     private ChannelFuture connecting;
     private Channel channel;
     private CompletableFuture<Reply> pending;
-    private java.util.concurrent.Future<?> timer;
+    private Future<?> timer;
 
     Exchange(Endpoint to) {
       this.to = to;
--- a/src/main/java/io/cherryspool/store/StateException.java
+++ b/src/main/java/io/cherryspool/store/StateException.java
@@ -1,5 +1,7 @@
 package io.cherryspool.store;
 
+import java.util.concurrent.CompletionException;
+
 /** A request that the state service did not answer with success. */
 public final class StateException extends RuntimeException {
   private static final long serialVersionUID = 1L;
@@ -30,7 +32,7 @@
   /** The kind of a failed future's cause; unknown for failures of the transport. */
   public static Kind kindOf(Throwable failure) {
     Throwable cause = failure;
-    while (cause instanceof java.util.concurrent.CompletionException && cause.getCause() != null) {
+    while (cause instanceof CompletionException && cause.getCause() != null) {
       cause = cause.getCause();
     }
     return cause instanceof StateException e ? e.kind : Kind.UNKNOWN;
--- a/src/test/java/io/cherryspool/controller/FenceTest.java
+++ b/src/test/java/io/cherryspool/controller/FenceTest.java
@@ -28,7 +28,6 @@
           Duration.ofSeconds(2),
           AUTHORITY,
           LEASE,
-          Duration.ofSeconds(1),
           Duration.ofSeconds(4),
           Duration.ofSeconds(1),
           Duration.ofSeconds(2),
--- a/src/test/java/io/cherryspool/sim/Simulation.java
+++ b/src/test/java/io/cherryspool/sim/Simulation.java
@@ -24,6 +24,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
@@ -382,9 +383,9 @@
     }
   }
 
-  private java.util.Optional<StandInWorker> anyWorker() {
+  private Optional<StandInWorker> anyWorker() {
     return workers.isEmpty()
-        ? java.util.Optional.empty()
+        ? Optional.empty()
         : workers.values().stream().skip(random.nextInt(workers.size())).findFirst();
   }
 }
