Let a leader act on the cloud only while its lease surely holds

Cause, found by rereading: within W a leader cut off from state and mesh could delete machines whose workers had gone over to its successor.

--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -204,7 +204,8 @@
             maxChanges,
             settings.deadlineTimes()),
         new Reign.RentalLimits(settings.cloudRps(), settings.listLag(), operators.idleKeep()),
-        new Reign.Cluster(teams, catalog::types, wall),
+        new Reign.Cluster(
+            new Reign.Authority(election::authorized, election::sole), teams, catalog::types, wall),
         timings,
         replica.term(),
         election::hear);
--- a/src/main/java/io/cherryspool/controller/Election.java
+++ b/src/main/java/io/cherryspool/controller/Election.java
@@ -115,8 +115,17 @@
     return leading() && fresh(renewed) && fresh(replica.confirmed());
   }
 
+  /** Whether the lease surely still holds, so that there can be no other leader. */
+  public boolean sole() {
+    return leading() && within(renewed, timings.stateLease());
+  }
+
   private boolean fresh(Duration since) {
-    return since != null && loop.now().minus(since).compareTo(timings.authority()) < 0;
+    return within(since, timings.authority());
+  }
+
+  private boolean within(Duration since, Duration limit) {
+    return since != null && loop.now().minus(since).compareTo(limit) < 0;
   }
 
   private void tick() {
--- a/src/main/java/io/cherryspool/controller/Reign.java
+++ b/src/main/java/io/cherryspool/controller/Reign.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -45,6 +46,7 @@
   private final Rounds rounds;
   private final Rental rental;
   private final LongConsumer higherTerm;
+  private final Authority authority;
   private final Duration started;
   private Duration listed;
   private final Set<String> inspected = new HashSet<>();
@@ -70,6 +72,7 @@
     this.timings = timings;
     this.term = term;
     this.higherTerm = higherTerm;
+    this.authority = cluster.authority();
     this.started = loop.now();
     this.tokens = new Tokens(term);
     this.orders = new Orders(stops, tokens);
@@ -102,12 +105,19 @@
             rentalLimits.listLag(),
             rentalLimits.idleKeep(),
             "cs-" + term + "-",
+            cluster.authority().sole(),
             this::inspectListed);
   }
 
   /** What does not change with the term. */
   record Cluster(
-      Map<String, Team> teams, Supplier<List<MachineType>> catalog, Supplier<Instant> wall) {}
+      Authority authority,
+      Map<String, Team> teams,
+      Supplier<List<MachineType>> catalog,
+      Supplier<Instant> wall) {}
+
+  /** What the leader may still do: {@code acts} for workers, {@code sole} for the cloud. */
+  record Authority(BooleanSupplier acts, BooleanSupplier sole) {}
 
   /** The cloud's limits and how long idle machines are kept. */
   record RentalLimits(double cloudRps, Duration listLag, Duration idleKeep) {}
@@ -201,7 +211,7 @@
   }
 
   private void pushAll() {
-    if (stopped) {
+    if (stopped || !authority.acts().getAsBoolean()) {
       return;
     }
     Ownership ownership = Ownership.of(replica);
--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Rental.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -40,6 +41,7 @@
   private final Duration listLag;
   private final Duration idleKeep;
   private final String prefix;
+  private final BooleanSupplier sole;
   private final Runnable listed;
   private final Map<String, Rented> list = new HashMap<>();
   private final Map<String, Incoming> incoming = new HashMap<>();
@@ -70,6 +72,7 @@
       Duration listLag,
       Duration idleKeep,
       String prefix,
+      BooleanSupplier sole,
       Runnable listed) {
     this.loop = loop;
     this.cloud = cloud;
@@ -82,6 +85,7 @@
     this.listLag = listLag;
     this.idleKeep = idleKeep;
     this.prefix = prefix;
+    this.sole = sole;
     this.listed = listed;
   }
 
@@ -101,7 +105,9 @@
 
   private void step() {
     timer = loop.schedule(gap, this::step);
-    if (busy) {
+    // A leader that is cut off would take workers that went over to its successor for silent ones,
+    // and delete their machines.
+    if (busy || !sole.getAsBoolean()) {
       return;
     }
     Duration now = loop.now();
