Call one piece where the change had written it again

Preemption stops a task in one place and knows which tasks are leaving without searching the stops; the price of a kind, whether a machine was heard, and the wiring of a controller are asked in one place each; tests read task names with TaskId and share one job fixture.

--- a/src/main/java/io/cherryspool/cli/Rehearsal.java
+++ b/src/main/java/io/cherryspool/cli/Rehearsal.java
@@ -10,14 +10,11 @@
 import io.cherryspool.http.Request;
 import io.cherryspool.mesh.Mesh;
 import io.cherryspool.mesh.NettyMesh;
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.net.URISyntaxException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +22,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
-import java.util.random.RandomGenerator;
 
 /**
  * Uses a node once without any service around it, so that the class-data archive made on exit holds
@@ -38,7 +34,6 @@
 
   static int run() throws Exception {
     NettyLoop loop = new NettyLoop();
-    PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     Endpoint any = new Endpoint("127.0.0.1", 0);
     Controller[] controller = new Controller[1];
     NettyServer server = new NettyServer(loop, request -> controller[0].handle(request), 100);
@@ -46,19 +41,7 @@
     Endpoint self = new Endpoint("127.0.0.1", server.port());
     NettyMesh mesh = new NettyMesh(loop, List.of(self), word -> controller[0].heard(word));
     NettyClient client = new NettyClient(loop);
-    controller[0] =
-        new Controller(
-            settings(any, self),
-            OperatorSettings.DEFAULTS,
-            new Controller.Surroundings(
-                loop,
-                client,
-                mesh,
-                RandomGenerator.getDefault(),
-                Instant::now,
-                "rehearsal",
-                registry,
-                registry::scrape));
+    controller[0] = Server.controller(settings(any, self), OperatorSettings.DEFAULTS, loop, mesh);
     loop.execute(controller[0]::start);
     loop.execute(() -> mesh.tell(new Mesh.Word("rehearsal", 1, true)));
     byte[] body =
--- a/src/main/java/io/cherryspool/cli/Server.java
+++ b/src/main/java/io/cherryspool/cli/Server.java
@@ -7,6 +7,7 @@
 import io.cherryspool.http.NettyClient;
 import io.cherryspool.http.NettyLoop;
 import io.cherryspool.http.NettyServer;
+import io.cherryspool.mesh.Mesh;
 import io.cherryspool.mesh.NettyMesh;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -44,26 +45,13 @@
   static int run(Loaded settings) throws InterruptedException {
     Settings platform = settings.platform();
     NettyLoop loop = new NettyLoop();
-    PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     Controller[] controller = new Controller[1];
     NettyMesh mesh =
         new NettyMesh(
             loop,
             platform.peers().stream().map(Settings.Peer::endpoint).toList(),
             word -> controller[0].heard(word));
-    controller[0] =
-        new Controller(
-            platform,
-            settings.operators(),
-            new Controller.Surroundings(
-                loop,
-                new NettyClient(loop),
-                mesh,
-                RandomGenerator.getDefault(),
-                Instant::now,
-                UUID.randomUUID().toString(),
-                registry,
-                registry::scrape));
+    controller[0] = controller(platform, settings.operators(), loop, mesh);
     int connections = (int) (platform.fdLimit() * (1 - OWN_SOCKETS));
     NettyServer server = new NettyServer(loop, controller[0], connections);
     try {
@@ -86,4 +74,22 @@
     loop.join();
     return 0;
   }
+
+  /** A controller on the loop's sockets and the machine's clocks, with metrics of its own. */
+  static Controller controller(
+      Settings platform, OperatorSettings operators, NettyLoop loop, Mesh mesh) {
+    PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    return new Controller(
+        platform,
+        operators,
+        new Controller.Surroundings(
+            loop,
+            new NettyClient(loop),
+            mesh,
+            RandomGenerator.getDefault(),
+            Instant::now,
+            UUID.randomUUID().toString(),
+            registry,
+            registry::scrape));
+  }
 }
--- a/src/main/java/io/cherryspool/controller/Fleet.java
+++ b/src/main/java/io/cherryspool/controller/Fleet.java
@@ -34,6 +34,12 @@
     return Collections.unmodifiableCollection(machines.values());
   }
 
+  /** Whether the machine has sent any message in this term. */
+  boolean hasHeard(String name) {
+    MachineState machine = machines.get(name);
+    return machine != null && machine.heard != null;
+  }
+
   boolean isGone(String name) {
     return gone.contains(name);
   }
--- a/src/main/java/io/cherryspool/controller/Reign.java
+++ b/src/main/java/io/cherryspool/controller/Reign.java
@@ -242,8 +242,7 @@
       all &= machine.gone || machine.heard != null;
     }
     for (String name : Ownership.of(replica).machines()) {
-      MachineState machine = fleet.get(name);
-      all &= fleet.isGone(name) || machine != null && machine.heard != null;
+      all &= fleet.isGone(name) || fleet.hasHeard(name);
     }
     Duration limit =
         listed == null ? started.plus(timings.report().multipliedBy(2)) : listed.plus(SILENCE);
--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Rental.java
@@ -169,12 +169,10 @@
       if (fleet.isGone(item.name())) {
         continue;
       }
-      MachineState machine = fleet.get(item.name());
-      boolean reported = machine != null && machine.heard != null;
       if (item.status() == Rented.Status.FAILED) {
         doom(item.name(), "it has failed");
       } else if (item.status() == Rented.Status.BOOTING
-          && !reported
+          && !fleet.hasHeard(item.name())
           && item.age().compareTo(bootLimit(item.type())) > 0) {
         doom(item.name(), "it has been booting for " + item.age().toSeconds() + " s");
       }
@@ -303,20 +301,16 @@
         .entrySet()
         .removeIf(
             entry -> {
-              MachineState machine = fleet.get(entry.getKey());
-              boolean reported = machine != null && machine.heard != null;
               boolean lost =
                   !list.containsKey(entry.getKey())
                       && now.minus(entry.getValue().since).compareTo(listLag.multipliedBy(4)) > 0;
-              return reported || lost || fleet.isGone(entry.getKey());
+              return fleet.hasHeard(entry.getKey()) || lost || fleet.isGone(entry.getKey());
             });
     List<FleetPlan.Offer> result = new ArrayList<>();
     incoming.values().forEach(item -> result.add(item.offer));
     for (Rented item : list.values()) {
-      MachineState machine = fleet.get(item.name());
-      boolean reported = machine != null && machine.heard != null;
       if (item.status() == Rented.Status.BOOTING
-          && !reported
+          && !fleet.hasHeard(item.name())
           && !incoming.containsKey(item.name())
           && !fleet.isGone(item.name())
           && types.containsKey(item.type())) {
--- a/src/main/java/io/cherryspool/model/MachineType.java
+++ b/src/main/java/io/cherryspool/model/MachineType.java
@@ -12,4 +12,10 @@
     double price,
     double spotPrice,
     Duration boot,
-    List<String> zones) {}
+    List<String> zones) {
+
+  /** The hourly price of the kind. */
+  public double price(boolean spot) {
+    return spot ? spotPrice : price;
+  }
+}
--- a/src/main/java/io/cherryspool/scheduler/FleetPlan.java
+++ b/src/main/java/io/cherryspool/scheduler/FleetPlan.java
@@ -17,11 +17,7 @@
 public final class FleetPlan {
 
   /** What the cloud sells: a type in a zone, ordinary or spot. */
-  public record Offer(MachineType type, String zone, boolean spot) {
-    double price() {
-      return spot ? type.spotPrice() : type.price();
-    }
-  }
+  public record Offer(MachineType type, String zone, boolean spot) {}
 
   /** An idle machine. */
   public record Idle(String name, boolean spot, Duration idleFor) {}
@@ -122,7 +118,7 @@
       places++;
     }
     long crowd = bins.stream().filter(bin -> bin.offer.equals(offer)).count();
-    return offer.price() / places * (1 + 0.001 * crowd);
+    return offer.type().price(offer.spot()) / places * (1 + 0.001 * crowd);
   }
 
   private static boolean allows(Job job, Offer offer) {
--- a/src/main/java/io/cherryspool/scheduler/Placement.java
+++ b/src/main/java/io/cherryspool/scheduler/Placement.java
@@ -1,6 +1,7 @@
 package io.cherryspool.scheduler;
 
 import io.cherryspool.model.Job;
+import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Resources;
 import io.cherryspool.model.Team;
 import io.cherryspool.scheduler.ClusterView.JobView;
@@ -137,8 +138,8 @@
     double fetch = bin.images.contains(job.image()) ? 0 : job.imageGb() / rate(bin) * 10;
     Resources left = bin.free.minus(job.perTask());
     MachineView machine = bin.machine;
-    double price = machine.spot() ? machine.type().spotPrice() : machine.type().price();
-    double perCpu = price / Math.max(1, machine.type().size().cpus());
+    MachineType type = machine.type();
+    double perCpu = type.price(machine.spot()) / Math.max(1, type.size().cpus());
     return fetch + left.cpus() + left.memoryGb() / 8 + CPUS_PER_PRICE * perCpu;
   }
 
--- a/src/main/java/io/cherryspool/scheduler/Preemption.java
+++ b/src/main/java/io/cherryspool/scheduler/Preemption.java
@@ -48,10 +48,8 @@
     }
     Map<String, Resources> use = new HashMap<>(teamUse);
     for (Room room : rooms) {
-      for (RunningTask task : room.machine.running()) {
-        if (task.stopping() || stopped(task, stops)) {
-          use.merge(task.job().team(), task.job().perTask(), (all, one) -> all.minus(one));
-        }
+      for (RunningTask task : room.leaving) {
+        use.merge(task.job().team(), task.job().perTask(), (all, one) -> all.minus(one));
       }
     }
     for (RoundPlan.Unplaced item : atLimit) {
@@ -60,10 +58,6 @@
     return stops;
   }
 
-  private static boolean stopped(RunningTask task, List<RoundPlan.Stop> stops) {
-    return stops.stream().anyMatch(stop -> stop.task().equals(task.task()));
-  }
-
   /**
    * A team's own lower work gives way when it alone keeps the team's pressing job at the team's
    * limit; otherwise an urgent job would wait for its own team's long ones.
@@ -104,9 +98,8 @@
       if (victim == null) {
         break;
       }
-      from.candidates.remove(victim);
       total = total.minus(victim.job().perTask());
-      stops.add(new RoundPlan.Stop(victim.task(), grace(victim.job())));
+      stops.add(from.stop(victim));
     }
     use.put(job.team(), total);
   }
@@ -139,9 +132,7 @@
       return false;
     }
     for (RunningTask victim : bestVictims) {
-      best.candidates.remove(victim);
-      best.free = best.free.plus(victim.job().perTask());
-      stops.add(new RoundPlan.Stop(victim.task(), grace(victim.job())));
+      stops.add(best.stop(victim));
     }
     best.free = best.free.minus(job.perTask());
     return true;
@@ -165,6 +156,7 @@
   private static final class Room {
     private final MachineView machine;
     private final List<RunningTask> candidates = new ArrayList<>();
+    private final List<RunningTask> leaving = new ArrayList<>();
     private Resources free;
 
     Room(MachineView machine, Resources taken) {
@@ -172,13 +164,24 @@
       this.free = machine.free().minus(taken);
       for (RunningTask task : machine.running()) {
         if (task.stopping()) {
-          free = free.plus(task.job().perTask());
+          leave(task);
         } else {
           candidates.add(task);
         }
       }
     }
 
+    private void leave(RunningTask task) {
+      leaving.add(task);
+      free = free.plus(task.job().perTask());
+    }
+
+    RoundPlan.Stop stop(RunningTask victim) {
+      candidates.remove(victim);
+      leave(victim);
+      return new RoundPlan.Stop(victim.task(), grace(victim.job()));
+    }
+
     /** The tasks whose stopping lets the job's task in; null if none would. */
     List<RunningTask> victims(Job job) {
       Resources room = free;
--- a/src/test/java/io/cherryspool/controller/FenceTest.java
+++ b/src/test/java/io/cherryspool/controller/FenceTest.java
@@ -5,14 +5,13 @@
 
 import io.cherryspool.model.Attempt;
 import io.cherryspool.model.Job;
+import io.cherryspool.model.JobFixture;
 import io.cherryspool.model.Order;
 import io.cherryspool.model.Priority;
 import io.cherryspool.model.Report;
-import io.cherryspool.model.Resources;
 import io.cherryspool.model.TaskId;
 import io.cherryspool.store.JobEntryFixture;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -37,26 +36,7 @@
   private final Judge judge = new Judge(timings, tokens, stops, START);
   private final Orders orders = new Orders(stops, tokens);
   private final MachineState machine = new MachineState("host-1", "box", "a", false, START);
-  private final Job job =
-      new Job(
-          "req-000001",
-          "lane",
-          "red",
-          Priority.NORMAL,
-          1,
-          new Resources(1, 0, 1),
-          "img",
-          1,
-          null,
-          null,
-          false,
-          false,
-          true,
-          Duration.ofSeconds(10),
-          Duration.ZERO,
-          Duration.ZERO,
-          null,
-          Instant.EPOCH);
+  private final Job job = JobFixture.job("req-000001", Priority.NORMAL, 1, 1);
   private final Ownership.Owned owned =
       new Ownership.Owned(
           JobEntryFixture.of(job), TASK, new Attempt(0, "host-1", 3, 1, tokens.base() - 7));
--- a/src/test/java/io/cherryspool/scheduler/PlacementTest.java
+++ b/src/test/java/io/cherryspool/scheduler/PlacementTest.java
@@ -1,5 +1,6 @@
 package io.cherryspool.scheduler;
 
+import static io.cherryspool.model.JobFixture.job;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -41,28 +42,6 @@
         ZONES);
   }
 
-  private static Job job(String id, Priority priority, int tasks, double cpus) {
-    return new Job(
-        id,
-        "lane",
-        "red",
-        priority,
-        tasks,
-        new Resources(cpus, 0, cpus),
-        "img",
-        1,
-        null,
-        null,
-        false,
-        false,
-        true,
-        Duration.ofSeconds(30),
-        Duration.ZERO,
-        Duration.ZERO,
-        null,
-        Instant.EPOCH);
-  }
-
   private static JobView free(Job job) {
     List<FreeTask> tasks = new ArrayList<>();
     for (int i = 0; i < job.tasks(); i++) {
--- a/src/test/java/io/cherryspool/sim/RuleChecker.java
+++ b/src/test/java/io/cherryspool/sim/RuleChecker.java
@@ -2,6 +2,7 @@
 
 import io.cherryspool.model.Job;
 import io.cherryspool.model.Resources;
+import io.cherryspool.model.TaskId;
 import io.cherryspool.model.Team;
 import io.cherryspool.scheduler.Rules;
 import java.time.Duration;
@@ -66,7 +67,7 @@
   /** A task got its image and runs; {@code all} are the live workers, this one among them. */
   void started(StandInWorker on, String task, Collection<StandInWorker> all) {
     starts++;
-    String id = task.substring(0, task.indexOf('/'));
+    String id = TaskId.parse(task).job();
     Job job = submitted.get(id);
     int twins = 0;
     int inZone = 0;
@@ -94,7 +95,7 @@
     Map<String, Resources> use = new HashMap<>();
     for (StandInWorker worker : all) {
       for (String task : worker.onMachine()) {
-        Job job = submitted.get(task.substring(0, task.indexOf('/')));
+        Job job = submitted.get(TaskId.parse(task).job());
         use.merge(job.team(), job.perTask(), Resources::plus);
         Duration told = cancelTold.get(job.id());
         broken(
@@ -110,10 +111,8 @@
   }
 
   void finished(String task) {
-    int slash = task.indexOf('/');
-    finished
-        .computeIfAbsent(task.substring(0, slash), key -> new HashSet<>())
-        .add(Integer.parseInt(task.substring(slash + 1)));
+    TaskId id = TaskId.parse(task);
+    finished.computeIfAbsent(id.job(), key -> new HashSet<>()).add(id.number());
   }
 
   void accepted(String id) {
--- a/src/test/java/io/cherryspool/sim/StandInWorker.java
+++ b/src/test/java/io/cherryspool/sim/StandInWorker.java
@@ -10,6 +10,7 @@
 import io.cherryspool.http.Request;
 import io.cherryspool.http.Transport;
 import io.cherryspool.model.Job;
+import io.cherryspool.model.TaskId;
 import io.cherryspool.wire.Json;
 import io.cherryspool.wire.WireException;
 import java.time.Duration;
@@ -262,7 +263,7 @@
         pieces.values().stream()
             .anyMatch(other -> other.task.equals(piece.task) && other.cause == null);
     pieces.put(key, piece);
-    Job job = jobs.apply(piece.task.substring(0, piece.task.indexOf('/')));
+    Job job = jobs.apply(TaskId.parse(piece.task).job());
     if (job == null) {
       exit(piece, "no_such");
     } else if (busy) {
@@ -296,7 +297,7 @@
   }
 
   private void halt(Piece piece, double grace) {
-    Job job = jobs.apply(piece.task.substring(0, piece.task.indexOf('/')));
+    Job job = jobs.apply(TaskId.parse(piece.task).job());
     if (piece.cause != null) {
       return;
     }
