--- a/src/main/java/io/cherryspool/config/OperatorSettings.java
+++ b/src/main/java/io/cherryspool/config/OperatorSettings.java
@@ -20,10 +20,18 @@
  * element is optional; docs/operations.md describes them.
  */
 public record OperatorSettings(
-    Duration roundMax, Duration stateLease, int failureCap, Duration idleKeep) {
+    Duration roundMax,
+    Duration stateLease,
+    int failureCap,
+    Duration idleKeep,
+    Duration beginWithin) {
   public static final OperatorSettings DEFAULTS =
       new OperatorSettings(
-          Duration.ofSeconds(1), Duration.ofSeconds(4), 20, Duration.ofSeconds(40));
+          Duration.ofSeconds(1),
+          Duration.ofSeconds(4),
+          20,
+          Duration.ofSeconds(40),
+          Duration.ofSeconds(120));
 
   /** Reads the file; the defaults where there is none. */
   public static OperatorSettings load(Path file) throws ConfigException {
@@ -46,7 +54,8 @@
             duration(file, values, "round-max", DEFAULTS.roundMax, 0.05, 10),
             duration(file, values, "state-lease", DEFAULTS.stateLease, 1, 60),
             (int) number(file, values, "failure-cap", DEFAULTS.failureCap, 1, 1_000_000),
-            duration(file, values, "idle-keep", DEFAULTS.idleKeep, 0, 86_400));
+            duration(file, values, "idle-keep", DEFAULTS.idleKeep, 0, 86_400),
+            duration(file, values, "begin-within", DEFAULTS.beginWithin, 1, 86_400));
     if (!values.isEmpty()) {
       throw new ConfigException(
           file + ": unknown element <" + values.keySet().iterator().next() + ">");
--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -200,6 +200,7 @@
         new Rounds.Limits(
             operators.roundMax(),
             timings.report().multipliedBy(2).plusMillis(500),
+            operators.beginWithin(),
             operators.failureCap(),
             maxChanges,
             settings.deadlineTimes()),
--- a/src/main/java/io/cherryspool/controller/Fleet.java
+++ b/src/main/java/io/cherryspool/controller/Fleet.java
@@ -87,6 +87,10 @@
   }
 
   private static void observe(MachineState machine, Report report, Duration now) {
+    if (report.tasks().isEmpty()) {
+      machine.runningSince.clear();
+      return;
+    }
     Set<TaskId> running = new HashSet<>();
     for (Report.TaskReport item : report.tasks()) {
       if (item.state() == Report.State.RUNNING || item.state() == Report.State.SAVING) {
@@ -99,6 +103,7 @@
 
   /** Remembers an image that the machine has or will fetch. */
   static void addImage(MachineState machine, String image) {
+    machine.view = null;
     machine.images.remove(image);
     machine.images.add(image);
     if (machine.images.size() > IMAGES_REMEMBERED) {
--- a/src/main/java/io/cherryspool/controller/MachineState.java
+++ b/src/main/java/io/cherryspool/controller/MachineState.java
@@ -4,6 +4,7 @@
 import io.cherryspool.model.Order;
 import io.cherryspool.model.Report;
 import io.cherryspool.model.TaskId;
+import io.cherryspool.scheduler.ClusterView;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -26,6 +27,26 @@
   /** When this leader last answered one of its reports, null if never. */
   Duration answered;
 
+  /** The newest report answered, so that a late copy of it is known as one. */
+  private long answeredSession;
+
+  private long answeredSequence;
+
+  /** The token of the last answer to a report; a worker that took it in reports no lower one. */
+  private long toldToken;
+
+  /** How many answers in a row the worker has shown no sign of. */
+  int unheeded;
+
+  /** Since when answers have gone unheeded, null while they are heeded. */
+  Duration deafSince;
+
+  /** Orders given in answers to reports, with the time; the worker is given time to carry out. */
+  final Map<Order, Duration> told = new HashMap<>();
+
+  /** What planning sees of the machine, null when something has changed since. */
+  ClusterView.MachineView view;
+
   /** The highest token of a direct command that has no answer, so that it may still run. */
   long unanswered;
 
@@ -68,6 +89,38 @@
     }
     latest = report;
     heard = now;
+    view = null;
+    if (report.token() >= toldToken) {
+      unheeded = 0;
+      deafSince = null;
+    }
+    return true;
+  }
+
+  /**
+   * Notes that this report is answered under the token; false if it was answered before, so that it
+   * is a late copy: nobody waits for the answer, and it keeps nothing alive.
+   *
+   * <p>A worker has one report in flight, so the next one shows whether the answer before it came
+   * through. A worker whose answers are lost goes on reporting and looks alive; it is known by the
+   * token that it lacks.
+   */
+  boolean answer(Report report, long token, Duration now) {
+    boolean copy =
+        report.session() < answeredSession
+            || report.session() == answeredSession && report.sequence() <= answeredSequence;
+    if (copy) {
+      return false;
+    }
+    if (report.token() < toldToken) {
+      unheeded++;
+      view = null;
+      deafSince = deafSince == null ? now : deafSince;
+    }
+    answeredSession = report.session();
+    answeredSequence = report.sequence();
+    answered = now;
+    toldToken = token;
     return true;
   }
 
--- a/src/main/java/io/cherryspool/controller/Orders.java
+++ b/src/main/java/io/cherryspool/controller/Orders.java
@@ -13,10 +13,12 @@
 final class Orders {
   private final Stops stops;
   private final Tokens tokens;
+  private final Proofs proofs;
 
-  Orders(Stops stops, Tokens tokens) {
+  Orders(Stops stops, Tokens tokens, Proofs proofs) {
     this.stops = stops;
     this.tokens = tokens;
+    this.proofs = proofs;
   }
 
   List<Order> of(MachineState machine, List<Ownership.Owned> owned) {
@@ -44,6 +46,8 @@
       if (here
           && item.entry().outcome() == null
           && stops.of(item) == null
+          // An attempt that has ended must not run once more while its end waits to be written.
+          && !proofs.has(item)
           && machine.find(item.id(), item.attempt().number()) == null) {
         orders.add(Order.start(item.id(), item.attempt().number()));
       }
--- a/src/main/java/io/cherryspool/controller/Ownership.java
+++ b/src/main/java/io/cherryspool/controller/Ownership.java
@@ -1,55 +1,133 @@
 package io.cherryspool.controller;
 
+import io.cherryspool.duty.Duty;
 import io.cherryspool.model.Attempt;
-import io.cherryspool.model.Resources;
+import io.cherryspool.model.Outcome;
+import io.cherryspool.model.Shard;
 import io.cherryspool.model.TaskId;
 import io.cherryspool.store.JobEntry;
 import io.cherryspool.store.Replica;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
-/** Who owns what, by machine and by team, as the committed records say. */
-final class Ownership {
+/**
+ * Who owns what, by machine, as the committed records say. It follows the records change by change,
+ * so that a report costs the look-up of one machine however many tasks run.
+ */
+final class Ownership implements Replica.Watcher, Duty {
 
   /** One owned task. */
   record Owned(JobEntry entry, TaskId id, Attempt attempt) {}
 
+  /** Who acts on the changes. */
+  interface Listener {
+    void machineTouched(String machine);
+
+    void jobTouched(JobEntry entry);
+
+    /** The records no longer hold this attempt. */
+    void released(Owned owned);
+
+    /** Everything may have changed. */
+    void reloaded();
+  }
+
+  private final Replica replica;
   private final Map<String, List<Owned>> byMachine = new HashMap<>();
-  private final Map<String, Resources> byTeam = new HashMap<>();
+  private Listener listener;
 
-  static Ownership of(Replica replica) {
-    Ownership result = new Ownership();
-    for (JobEntry entry : replica.active()) {
-      int count = 0;
+  Ownership(Replica replica) {
+    this.replica = replica;
+  }
+
+  void listen(Listener to) {
+    listener = to;
+  }
+
+  @Override
+  public void start() {
+    replica.watch(this);
+    reloaded();
+  }
+
+  @Override
+  public void stop() {
+    replica.unwatch(this);
+  }
+
+  List<Owned> on(String machine) {
+    return byMachine.getOrDefault(machine, List.of());
+  }
+
+  /** The machines that own anything. */
+  Set<String> machines() {
+    return Collections.unmodifiableSet(byMachine.keySet());
+  }
+
+  @Override
+  public void progressed(JobEntry entry, Shard before, Shard after) {
+    for (Attempt attempt : before.owned().values()) {
+      if (!attempt.equals(after.owner(attempt.task()))) {
+        remove(entry, attempt);
+      }
+    }
+    for (Attempt attempt : after.owned().values()) {
+      if (!attempt.equals(before.owner(attempt.task()))) {
+        add(entry, attempt);
+        listener.machineTouched(attempt.machine());
+      }
+    }
+    listener.jobTouched(entry);
+  }
+
+  @Override
+  public void changed(JobEntry entry) {
+    listener.jobTouched(entry);
+    if (entry.outcome() == Outcome.CANCELLED) {
       for (JobEntry.Versioned item : entry.shards().values()) {
         for (Attempt attempt : item.shard().owned().values()) {
-          TaskId id = new TaskId(entry.job().id(), attempt.task());
-          result
-              .byMachine
-              .computeIfAbsent(attempt.machine(), key -> new ArrayList<>())
-              .add(new Owned(entry, id, attempt));
-          count++;
+          listener.machineTouched(attempt.machine());
         }
       }
-      if (count > 0) {
-        Resources use = entry.job().perTask().times(count);
-        result.byTeam.merge(entry.job().team(), use, Resources::plus);
-      }
     }
-    return result;
   }
 
-  List<Owned> on(String machine) {
-    return byMachine.getOrDefault(machine, List.of());
+  @Override
+  public void reloaded() {
+    byMachine.clear();
+    for (JobEntry entry : replica.active()) {
+      for (JobEntry.Versioned item : entry.shards().values()) {
+        for (Attempt attempt : item.shard().owned().values()) {
+          add(entry, attempt);
+        }
+      }
+    }
+    listener.reloaded();
   }
 
-  Iterable<String> machines() {
-    return byMachine.keySet();
+  private void add(JobEntry entry, Attempt attempt) {
+    byMachine
+        .computeIfAbsent(attempt.machine(), key -> new ArrayList<>(4))
+        .add(new Owned(entry, new TaskId(entry.job().id(), attempt.task()), attempt));
   }
 
-  Map<String, Resources> byTeam() {
-    return byTeam;
+  private void remove(JobEntry entry, Attempt attempt) {
+    List<Owned> list = on(attempt.machine());
+    for (int i = 0; i < list.size(); i++) {
+      Owned owned = list.get(i);
+      if (owned.entry() == entry && owned.attempt().equals(attempt)) {
+        list.remove(i);
+        if (list.isEmpty()) {
+          byMachine.remove(attempt.machine());
+        }
+        listener.machineTouched(attempt.machine());
+        listener.released(owned);
+        return;
+      }
+    }
   }
 }
--- a/src/main/java/io/cherryspool/controller/Pusher.java
+++ b/src/main/java/io/cherryspool/controller/Pusher.java
@@ -6,7 +6,7 @@
 import io.cherryspool.worker.WorkerClient;
 import java.time.Duration;
 import java.util.List;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 
 /**
  * Sends committed orders straight to workers, so that a start need not wait for the next report.
@@ -18,10 +18,17 @@
   private final WorkerClient workers;
   private final Tokens tokens;
   private final Duration pause;
-  private final Consumer<Report> sink;
+  private final BiConsumer<MachineState, Report> sink;
 
+  /**
+   * @param sink takes each answer, or null where there was none
+   */
   Pusher(
-      EventLoop loop, WorkerClient workers, Tokens tokens, Duration pause, Consumer<Report> sink) {
+      EventLoop loop,
+      WorkerClient workers,
+      Tokens tokens,
+      Duration pause,
+      BiConsumer<MachineState, Report> sink) {
     this.loop = loop;
     this.workers = workers;
     this.tokens = tokens;
@@ -29,19 +36,8 @@
     this.sink = sink;
   }
 
+  /** Sends the orders; with none, the call still makes the worker take the current token. */
   void push(MachineState machine, List<Order> orders) {
-    boolean urgent = orders.stream().anyMatch(order -> order.verb() != Order.Verb.FORGET);
-    if (urgent) {
-      send(machine, orders);
-    }
-  }
-
-  /** Makes the worker take the current token, which fences off whoever led before. */
-  void fence(MachineState machine, List<Order> orders) {
-    send(machine, orders);
-  }
-
-  private void send(MachineState machine, List<Order> orders) {
     if (machine.latest == null
         || machine.endpoint == null
         || machine.gone
@@ -57,13 +53,12 @@
         .whenComplete(
             (report, failure) -> {
               machine.underWay = 0;
-              if (failure == null) {
-                sink.accept(report);
-              } else {
+              if (failure != null) {
                 machine.unanswered = Math.max(machine.unanswered, token);
                 machine.pushAgain = loop.now().plus(pause);
                 tokens.next();
               }
+              sink.accept(machine, failure == null ? report : null);
             });
   }
 
--- a/src/main/java/io/cherryspool/controller/Reign.java
+++ b/src/main/java/io/cherryspool/controller/Reign.java
@@ -8,12 +8,15 @@
 import io.cherryspool.model.Report;
 import io.cherryspool.model.Team;
 import io.cherryspool.model.Token;
+import io.cherryspool.store.JobEntry;
 import io.cherryspool.store.Replica;
 import io.cherryspool.wire.WorkerWire;
 import io.cherryspool.worker.WorkerClient;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -30,6 +33,12 @@
 final class Reign implements Duty {
   private static final Logger LOG = LoggerFactory.getLogger(Reign.class);
 
+  /** Calls that ask machines for their state at a time; each holds a socket. */
+  private static final int MAX_INSPECTING = 32;
+
+  /** Orders given in an answer show in the worker's next report, which a change brings soon. */
+  private static final Duration TOLD = Duration.ofMillis(1200);
+
   /** A live worker answers a call within milliseconds; a lost packet costs some hundred. */
   private static final Duration SILENCE = Duration.ofMillis(1200);
 
@@ -40,6 +49,8 @@
   private final Tokens tokens;
   private final long term;
   private final Fleet fleet = new Fleet();
+  private final Ownership ownership;
+  private final Proofs proofs = new Proofs();
   private final Stops stops = new Stops();
   private final Orders orders;
   private final Pusher pusher;
@@ -48,8 +59,11 @@
   private final LongConsumer higherTerm;
   private final Authority authority;
   private final Duration started;
-  private Duration listed;
+  private final Set<String> toInspect = new LinkedHashSet<>();
   private final Set<String> inspected = new HashSet<>();
+  private final Set<String> ordered = new LinkedHashSet<>();
+  private int inspecting;
+  private Duration listed;
   private boolean placing;
   private boolean stopped;
   private EventLoop.Timer timer;
@@ -75,8 +89,9 @@
     this.authority = cluster.authority();
     this.started = loop.now();
     this.tokens = new Tokens(term);
-    this.orders = new Orders(stops, tokens);
-    this.pusher = new Pusher(loop, workers, tokens, timings.workerCall(), this::ingest);
+    this.ownership = new Ownership(replica);
+    this.orders = new Orders(stops, tokens, proofs);
+    this.pusher = new Pusher(loop, workers, tokens, timings.workerCall(), this::pushed);
     Judge judge = new Judge(timings, tokens, stops, started);
     this.rounds =
         new Rounds(
@@ -85,7 +100,7 @@
             writer,
             fleet,
             judge,
-            stops,
+            new Rounds.Ledger(ownership, proofs, stops),
             tokens,
             cluster.teams(),
             cluster.catalog(),
@@ -97,7 +112,7 @@
             loop,
             cloud,
             fleet,
-            replica,
+            ownership,
             rounds,
             cluster.catalog(),
             timings,
@@ -107,6 +122,37 @@
             "cs-" + term + "-",
             cluster.authority().sole(),
             this::inspectListed);
+    ownership.listen(new Changes());
+  }
+
+  /** What changes of the records set off. */
+  private final class Changes implements Ownership.Listener {
+    @Override
+    public void machineTouched(String machine) {
+      ordered.add(machine);
+      rounds.machineTouched(machine);
+    }
+
+    @Override
+    public void jobTouched(JobEntry entry) {
+      rounds.jobTouched(entry);
+    }
+
+    @Override
+    public void released(Ownership.Owned owned) {
+      proofs.drop(owned);
+      stops.drop(owned);
+      MachineState machine = fleet.get(owned.attempt().machine());
+      if (machine != null) {
+        machine.started.remove(Order.start(owned.id(), owned.attempt().number()));
+      }
+    }
+
+    @Override
+    public void reloaded() {
+      ordered.addAll(ownership.machines());
+      rounds.reloaded();
+    }
   }
 
   /** What does not change with the term. */
@@ -125,6 +171,7 @@
   @Override
   public void start() {
     LOG.info("leading in term {}; rebuilding ownership", term);
+    ownership.start();
     rounds.start();
     rental.start();
     tick();
@@ -134,6 +181,7 @@
   public void stop() {
     stopped = true;
     LOG.info("no longer leading in term {}", term);
+    ownership.stop();
     rounds.stop();
     rental.stop();
     timer.cancel();
@@ -156,19 +204,31 @@
   byte[] report(Report report) {
     ingest(report);
     MachineState machine = fleet.get(report.machine());
-    if (machine == null || machine.gone || machine.latest == null) {
-      return WorkerWire.reply(tokens.current(), List.of());
-    }
-    machine.answered = loop.now();
-    if (report.session() != machine.latest.session()) {
-      return WorkerWire.reply(tokens.current(), List.of());
-    }
-    List<Order> list = orders.of(machine, Ownership.of(replica).on(machine.name));
     long token = tokens.current();
+    if (machine == null
+        || machine.gone
+        || machine.latest == null
+        || !machine.answer(report, token, loop.now())
+        || report.session() != machine.latest.session()) {
+      return WorkerWire.reply(token, List.of());
+    }
+    List<Order> list = orders.of(machine, ownership.on(machine.name));
     Pusher.noteStarts(machine, list, token);
+    machine.told.clear();
+    list.forEach(order -> machine.told.put(order, loop.now()));
     return WorkerWire.reply(token, list);
   }
 
+  /** The answer to a direct call, or word that there was none. */
+  private void pushed(MachineState machine, Report report) {
+    if (report != null) {
+      ingest(report);
+    }
+    // Whether the call may still run bears on what absence proves.
+    rounds.machineTouched(machine.name);
+    ordered.add(machine.name);
+  }
+
   private void ingest(Report report) {
     if (stopped) {
       return;
@@ -190,6 +250,8 @@
             || before.token() != report.token()
             || (before.notice() == null) != (report.notice() == null);
     if (news && machine.latest == report) {
+      rounds.machineTouched(machine.name);
+      ordered.add(machine.name);
       rounds.request();
       if (report.notice() != null && (before == null || before.notice() == null)) {
         LOG.info("machine {} will be taken in {} s", machine.name, report.notice().toSeconds());
@@ -200,24 +262,42 @@
 
   /** Saves what can be saved on a machine that goes; the rest may still finish in time. */
   private void drain(MachineState machine) {
-    for (Ownership.Owned owned : Ownership.of(replica).on(machine.name)) {
+    for (Ownership.Owned owned : ownership.on(machine.name)) {
       Duration save = owned.entry().job().save();
       boolean saves = !owned.entry().job().checkpoint().isZero();
       if (saves && save.compareTo(machine.latest.notice()) < 0) {
         stops.add(owned.id(), owned.attempt().number(), machine.latest.notice());
+        rounds.machineTouched(machine.name);
       }
     }
     pushAll();
   }
 
+  /** Sends what is due to the machines that something has changed for. */
   private void pushAll() {
     if (stopped || !authority.acts().getAsBoolean()) {
       return;
     }
-    Ownership ownership = Ownership.of(replica);
-    for (MachineState machine : fleet.all()) {
-      if (machine.latest != null && !machine.gone) {
-        pusher.push(machine, orders.of(machine, ownership.on(machine.name)));
+    Duration now = loop.now();
+    for (Iterator<String> names = ordered.iterator(); names.hasNext(); ) {
+      MachineState machine = fleet.get(names.next());
+      if (machine == null || machine.gone) {
+        names.remove();
+      } else if (machine.latest != null && machine.underWay == 0) {
+        List<Order> due = orders.of(machine, ownership.on(machine.name));
+        due.removeIf(order -> order.verb() == Order.Verb.FORGET);
+        if (due.isEmpty()) {
+          names.remove();
+          continue;
+        }
+        due.removeIf(
+            order -> {
+              Duration told = machine.told.get(order);
+              return told != null && now.minus(told).compareTo(TOLD) < 0;
+            });
+        if (!due.isEmpty()) {
+          pusher.push(machine, due);
+        }
       }
     }
   }
@@ -241,7 +321,7 @@
     for (MachineState machine : fleet.all()) {
       all &= machine.gone || machine.heard != null;
     }
-    for (String name : Ownership.of(replica).machines()) {
+    for (String name : ownership.machines()) {
       all &= fleet.isGone(name) || fleet.hasHeard(name);
     }
     Duration limit =
@@ -262,22 +342,39 @@
     listed = listed == null ? loop.now() : listed;
     for (MachineState machine : fleet.all()) {
       if (machine.endpoint != null && machine.heard == null && inspected.add(machine.name)) {
-        workers
-            .inspect(machine.endpoint)
-            .whenComplete(
-                (report, failure) -> {
-                  if (failure == null && !stopped) {
-                    ingest(report);
-                    fence(machine);
-                  }
-                });
+        toInspect.add(machine.name);
+      }
+    }
+    inspectNext();
+  }
+
+  /** A few at a time: a thousand calls at once would take all sockets, and all of the processor. */
+  private void inspectNext() {
+    while (inspecting < MAX_INSPECTING && !toInspect.isEmpty() && !stopped) {
+      Iterator<String> first = toInspect.iterator();
+      MachineState machine = fleet.get(first.next());
+      first.remove();
+      if (machine == null || machine.gone || machine.heard != null) {
+        continue;
       }
+      inspecting++;
+      workers
+          .inspect(machine.endpoint)
+          .whenComplete(
+              (report, failure) -> {
+                inspecting--;
+                if (failure == null && !stopped) {
+                  ingest(report);
+                  fence(machine);
+                }
+                inspectNext();
+              });
     }
   }
 
   private void fence(MachineState machine) {
     if (machine.latest != null && machine.latest.token() < tokens.current()) {
-      pusher.fence(machine, orders.of(machine, Ownership.of(replica).on(machine.name)));
+      pusher.push(machine, orders.of(machine, ownership.on(machine.name)));
     }
   }
 }
--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Rental.java
@@ -6,7 +6,6 @@
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Rented;
 import io.cherryspool.scheduler.FleetPlan;
-import io.cherryspool.store.Replica;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -33,7 +32,7 @@
   private final EventLoop loop;
   private final CloudClient cloud;
   private final Fleet fleet;
-  private final Replica replica;
+  private final Ownership ownership;
   private final Rounds rounds;
   private final Supplier<List<MachineType>> catalog;
   private final Timings timings;
@@ -64,7 +63,7 @@
       EventLoop loop,
       CloudClient cloud,
       Fleet fleet,
-      Replica replica,
+      Ownership ownership,
       Rounds rounds,
       Supplier<List<MachineType>> catalog,
       Timings timings,
@@ -77,7 +76,7 @@
     this.loop = loop;
     this.cloud = cloud;
     this.fleet = fleet;
-    this.replica = replica;
+    this.ownership = ownership;
     this.rounds = rounds;
     this.catalog = catalog;
     this.timings = timings;
@@ -164,7 +163,6 @@
 
   /** Decides which machines to delete, and only for reasons that hold whatever a late list says. */
   private void condemn(Duration now) {
-    Ownership ownership = Ownership.of(replica);
     for (Rented item : list.values()) {
       if (fleet.isGone(item.name())) {
         continue;
@@ -276,7 +274,7 @@
       return;
     }
     soldOut.values().removeIf(at -> now.minus(at).compareTo(SOLD_OUT) > 0);
-    fleet.prune(Ownership.of(replica));
+    fleet.prune(ownership);
     FleetPlan.View view =
         new FleetPlan.View(
             rounds.unplaced(), coming(), idle(now), catalog.get(), soldOut.keySet(), idleKeep);
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/RoundEdits.java
@@ -0,0 +1,196 @@
+package io.cherryspool.controller;
+
+import io.cherryspool.model.Outcome;
+import io.cherryspool.model.Shard;
+import io.cherryspool.store.JobEntry;
+import io.cherryspool.store.Records;
+import io.cherryspool.wire.StateWire;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Turns a round's assignments and the proofs at hand into changes of records, the pressing ones
+ * first: ends of jobs, then starts, each taking the proofs of its shard along, then proofs that
+ * have waited long enough, then records of ended jobs.
+ */
+final class RoundEdits {
+  private static final Logger LOG = LoggerFactory.getLogger(RoundEdits.class);
+
+  private final Proofs proofs;
+  private final int maxChanges;
+  private final Map<String, Edit> edits = new LinkedHashMap<>();
+
+  /** The changed shards of one job. */
+  private final class Edit {
+    private final JobEntry entry;
+    private final Map<Integer, Shard.Editor> shards = new TreeMap<>();
+    private final Set<Integer> assigned = new HashSet<>();
+
+    Edit(JobEntry entry) {
+      this.entry = entry;
+    }
+
+    /** The next version of a shard; what is proved of it goes along with any other change. */
+    Shard.Editor shard(int index) {
+      Shard.Editor known = shards.get(index);
+      if (known != null) {
+        return known;
+      }
+      Shard.Editor editor = entry.shard(index).shard().edit();
+      for (Proofs.Proof proof : proofs.ofJob(entry.job().id()).values()) {
+        int task = proof.owned().id().number();
+        if (entry.shardOf(task) == index) {
+          if (proof.done()) {
+            editor.complete(task);
+          } else {
+            editor.release(task, proof.failed());
+          }
+        }
+      }
+      shards.put(index, editor);
+      return editor;
+    }
+  }
+
+  RoundEdits(Proofs proofs, int maxChanges) {
+    this.proofs = proofs;
+    this.maxChanges = maxChanges;
+  }
+
+  void assign(JobEntry entry, int task, String machine, long session, long token) {
+    Edit edit = edits.computeIfAbsent(entry.job().id(), key -> new Edit(entry));
+    int shard = entry.shardOf(task);
+    edit.shard(shard).assign(task, machine, session, token);
+    edit.assigned.add(shard);
+  }
+
+  /**
+   * The changes to commit, the pressing ones first.
+   *
+   * @param lazyBefore proofs learnt until then are written even if nothing else needs their shard
+   */
+  List<RoundWriter.Unit> units(Collection<JobEntry> active, Duration lazyBefore) {
+    List<RoundWriter.Unit> ends = new ArrayList<>();
+    List<RoundWriter.Unit> starts = new ArrayList<>();
+    List<RoundWriter.Unit> rest = new ArrayList<>();
+    Set<String> ending = new HashSet<>();
+    for (String id : proofs.jobs()) {
+      Collection<Proofs.Proof> known = proofs.ofJob(id).values();
+      JobEntry entry = known.iterator().next().owned().entry();
+      boolean whole = entry.doneCount() + Proofs.done(known) == entry.job().tasks();
+      boolean due = entry.outcome() == null && whole;
+      for (Proofs.Proof proof : known) {
+        due |= proof.at().compareTo(lazyBefore) <= 0;
+      }
+      if (due) {
+        Edit edit = edits.computeIfAbsent(id, key -> new Edit(entry));
+        known.forEach(proof -> edit.shard(entry.shardOf(proof.owned().id().number())));
+      }
+      if (entry.outcome() == null && whole) {
+        ending.add(id);
+      }
+    }
+    edits.forEach((id, edit) -> add(edit, ending.contains(id), ends, starts, rest));
+    clean(active, rest);
+    ends.addAll(starts);
+    ends.addAll(rest);
+    return ends;
+  }
+
+  private void add(
+      Edit edit,
+      boolean ending,
+      List<RoundWriter.Unit> ends,
+      List<RoundWriter.Unit> starts,
+      List<RoundWriter.Unit> rest) {
+    JobEntry entry = edit.entry;
+    String id = entry.job().id();
+    Map<Integer, Shard> built = new TreeMap<>();
+    edit.shards.forEach((index, editor) -> built.put(index, editor.build()));
+    if (ending && built.size() + 1 <= maxChanges) {
+      ends.add(ending(entry, built));
+      return;
+    }
+    built.forEach(
+        (index, shard) -> {
+          Map<String, Long> conditions = new LinkedHashMap<>();
+          conditions.put(Records.progress(id, index), entry.shard(index).version());
+          boolean assigns = edit.assigned.contains(index);
+          if (assigns) {
+            // After a cancel is committed nothing of the job may be assigned.
+            conditions.put(Records.outcome(id), 0L);
+          }
+          boolean over = entry.outcome() != null && shard.owned().isEmpty();
+          RoundWriter.Unit unit =
+              new RoundWriter.Unit(
+                  conditions,
+                  List.of(
+                      new StateWire.Change(
+                          Records.progress(id, index), over ? null : Records.shard(shard), 0)),
+                  Records.sizeOf(shard));
+          (assigns ? starts : ending ? ends : rest).add(unit);
+        });
+  }
+
+  /** The job's last tasks and its outcome, together; its progress records go as far as they fit. */
+  private RoundWriter.Unit ending(JobEntry entry, Map<Integer, Shard> built) {
+    String id = entry.job().id();
+    Map<String, Long> conditions = new LinkedHashMap<>();
+    List<StateWire.Change> changes = new ArrayList<>();
+    conditions.put(Records.outcome(id), 0L);
+    changes.add(new StateWire.Change(Records.outcome(id), Records.outcome(Outcome.DONE), 0));
+    boolean whole = entry.shards().size() + 1 <= maxChanges;
+    int bytes = 0;
+    for (Map.Entry<Integer, Shard> item : built.entrySet()) {
+      int index = item.getKey();
+      conditions.put(Records.progress(id, index), entry.shard(index).version());
+      if (!whole) {
+        changes.add(
+            new StateWire.Change(Records.progress(id, index), Records.shard(item.getValue()), 0));
+        bytes += Records.sizeOf(item.getValue());
+      }
+    }
+    if (whole) {
+      for (int index : entry.shards().keySet()) {
+        changes.add(new StateWire.Change(Records.progress(id, index), null, 0));
+      }
+    }
+    LOG.info("job {} is done", id);
+    return new RoundWriter.Unit(conditions, changes, bytes);
+  }
+
+  /** Ends jobs whose last shards were committed apart, and removes records of ended jobs. */
+  private void clean(Collection<JobEntry> active, List<RoundWriter.Unit> units) {
+    for (JobEntry entry : active) {
+      String id = entry.job().id();
+      if (edits.containsKey(id)) {
+        continue;
+      }
+      if (entry.outcome() == null) {
+        if (entry.doneCount() == entry.job().tasks()) {
+          units.add(ending(entry, Map.of()));
+        }
+        continue;
+      }
+      for (int index : entry.shards().keySet()) {
+        JobEntry.Versioned item = entry.shard(index);
+        if (item.shard().owned().isEmpty()) {
+          units.add(
+              new RoundWriter.Unit(
+                  Map.of(Records.progress(id, index), item.version()),
+                  List.of(new StateWire.Change(Records.progress(id, index), null, 0)),
+                  0));
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/RoundView.java
@@ -0,0 +1,282 @@
+package io.cherryspool.controller;
+
+import io.cherryspool.model.Attempt;
+import io.cherryspool.model.Job;
+import io.cherryspool.model.MachineType;
+import io.cherryspool.model.Resources;
+import io.cherryspool.model.Shard;
+import io.cherryspool.model.TaskId;
+import io.cherryspool.model.Team;
+import io.cherryspool.scheduler.ClusterView;
+import io.cherryspool.store.JobEntry;
+import io.cherryspool.store.Replica;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What a round is planned from. What is seen of a machine or a job is kept until something about it
+ * changes, so that a round's preparation costs what happened since the last one.
+ */
+final class RoundView {
+  private static final int FREE_TASKS_PER_JOB = 512;
+  private static final Duration SHUN = Duration.ofSeconds(120);
+  private static final Duration MAX_BACKOFF = Duration.ofSeconds(30);
+
+  /**
+   * The failure cap of a task rises by one each time so long has passed, since neither lost
+   * machines nor bad ones are the job's fault, and its user would wait for good.
+   */
+  private static final Duration ONE_MORE = Duration.ofSeconds(90);
+
+  private final Replica replica;
+  private final Fleet fleet;
+  private final Ownership ownership;
+  private final Proofs proofs;
+  private final Stops stops;
+  private final Tokens tokens;
+  private final Duration silence;
+  private final int failureCap;
+  private final Map<String, SeenJob> jobs = new HashMap<>();
+  private final Map<TaskId, Duration> lapsed = new HashMap<>();
+
+  /** A job as last looked at, and when some of its tasks will have waited long enough. */
+  private record SeenJob(ClusterView.JobView view, Duration until) {}
+
+  RoundView(
+      Replica replica,
+      Fleet fleet,
+      Rounds.Ledger ledger,
+      Tokens tokens,
+      Duration silence,
+      int failureCap) {
+    this.replica = replica;
+    this.fleet = fleet;
+    this.ownership = ledger.ownership();
+    this.proofs = ledger.proofs();
+    this.stops = ledger.stops();
+    this.tokens = tokens;
+    this.silence = silence;
+    this.failureCap = failureCap;
+  }
+
+  void jobTouched(JobEntry entry) {
+    String id = entry.job().id();
+    jobs.remove(id);
+    if (entry.outcome() != null && !lapsed.isEmpty()) {
+      lapsed.keySet().removeIf(task -> task.job().equals(id));
+    }
+  }
+
+  void clear() {
+    jobs.clear();
+    fleet.all().forEach(machine -> machine.view = null);
+  }
+
+  /** An attempt ended without success, or none of it is known any more. */
+  void ended(TaskId task, boolean done, Duration now) {
+    if (done) {
+      lapsed.remove(task);
+    } else {
+      lapsed.put(task, now);
+    }
+    jobs.remove(task.job());
+  }
+
+  /** The jobs that have free tasks. */
+  List<ClusterView.JobView> jobs(Duration now) {
+    List<ClusterView.JobView> result = new ArrayList<>();
+    for (JobEntry entry : replica.active()) {
+      if (entry.outcome() != null) {
+        continue;
+      }
+      String id = entry.job().id();
+      SeenJob seen = jobs.get(id);
+      if (seen == null || seen.until != null && now.compareTo(seen.until) >= 0) {
+        seen = look(entry, now);
+        jobs.put(id, seen);
+      }
+      if (!seen.view.free().isEmpty()) {
+        result.add(seen.view);
+      }
+    }
+    return result;
+  }
+
+  /** What each team's tasks use, without those that are proved to have ended. */
+  Map<String, Resources> teamUse() {
+    Map<String, Resources> use = new HashMap<>();
+    for (JobEntry entry : replica.active()) {
+      Map<Integer, Proofs.Proof> known = proofs.ofJob(entry.job().id());
+      int count = entry.ownedCount() - known.size();
+      if (count > 0) {
+        use.merge(entry.job().team(), entry.job().perTask().times(count), Resources::plus);
+      }
+    }
+    return use;
+  }
+
+  /** The teams that need not wait for others: all their unfinished work fits their guarantee. */
+  Set<String> owed(Map<String, Team> teams) {
+    Map<String, Resources> wanted = new HashMap<>();
+    for (JobEntry entry : replica.active()) {
+      if (entry.outcome() == null) {
+        Job job = entry.job();
+        int left = job.tasks() - entry.doneCount();
+        wanted.merge(job.team(), job.perTask().times(left), Resources::plus);
+      }
+    }
+    Set<String> result = new HashSet<>();
+    wanted.forEach(
+        (name, sum) -> {
+          Team team = teams.get(name);
+          if (team != null && team.guaranteed(sum)) {
+            result.add(name);
+          }
+        });
+    return result;
+  }
+
+  List<ClusterView.MachineView> machines(List<MachineType> catalog, Duration now) {
+    Map<String, MachineType> types = new HashMap<>();
+    catalog.forEach(type -> types.put(type.name(), type));
+    List<ClusterView.MachineView> result = new ArrayList<>();
+    for (MachineState machine : fleet.all()) {
+      MachineType type = types.get(machine.type);
+      if (type == null || !usable(machine, now)) {
+        continue;
+      }
+      if (!machine.failedJobs.isEmpty()
+          && machine.failedJobs.values().removeIf(at -> now.minus(at).compareTo(SHUN) > 0)) {
+        machine.view = null;
+      }
+      if (machine.view == null) {
+        machine.view = look(machine, type);
+      }
+      result.add(machine.view);
+    }
+    return result;
+  }
+
+  /**
+   * Whether the machine may be given work: it has taken in a token of this term, heeds its answers,
+   * and has reported a short while ago.
+   */
+  private boolean usable(MachineState machine, Duration now) {
+    return machine.latest != null
+        && !machine.gone
+        && !machine.deleting
+        && machine.unheeded == 0
+        && machine.latest.notice() == null
+        && machine.failuresInARow < Rental.SICK
+        && now.minus(machine.heard).compareTo(silence) < 0
+        && machine.latest.token() > tokens.base();
+  }
+
+  private ClusterView.MachineView look(MachineState machine, MachineType type) {
+    Resources free = type.size();
+    List<ClusterView.RunningTask> running = new ArrayList<>();
+    for (Ownership.Owned owned : ownership.on(machine.name)) {
+      if (!proofs.has(owned)) {
+        Job job = owned.entry().job();
+        free = free.minus(job.perTask());
+        running.add(
+            new ClusterView.RunningTask(
+                owned.id(), job, machine.runningSince.get(owned.id()), stops.of(owned) != null));
+      }
+    }
+    return new ClusterView.MachineView(
+        machine.name,
+        type,
+        machine.zone,
+        machine.spot,
+        true,
+        free,
+        Set.copyOf(machine.images),
+        Set.copyOf(machine.failedJobs.keySet()),
+        running);
+  }
+
+  private SeenJob look(JobEntry entry, Duration now) {
+    Job job = entry.job();
+    Map<Integer, Proofs.Proof> known = proofs.ofJob(job.id());
+    List<ClusterView.FreeTask> free = new ArrayList<>();
+    Duration until = null;
+    int held = 0;
+    boolean begun = entry.doneCount() > 0;
+    for (int index = 0; index < entry.shardCount() && free.size() < FREE_TASKS_PER_JOB; index++) {
+      Shard shard = entry.shard(index).shard();
+      begun |= !shard.owned().isEmpty() || !shard.histories().isEmpty();
+      int end = entry.endTask(index);
+      for (int task = shard.nextUndone(entry.firstTask(index));
+          task < end && free.size() < FREE_TASKS_PER_JOB;
+          task = shard.nextUndone(task + 1)) {
+        Proofs.Proof proof = known.get(task);
+        if (shard.owner(task) != null && (proof == null || proof.done())) {
+          continue;
+        }
+        Shard.History history = shard.history(task);
+        int failures = history.failures() + (proof != null && proof.failed() ? 1 : 0);
+        if (history.attempts() == 0) {
+          free.add(new ClusterView.FreeTask(task, 0, failures, null));
+          continue;
+        }
+        TaskId id = new TaskId(job.id(), task);
+        Duration wait = failures >= failureCap ? ONE_MORE : backoff(failures);
+        Duration last = lapsed.get(id);
+        if (last == null && failures >= failureCap) {
+          // What an earlier leader saw is not known; the wait starts now.
+          lapsed.put(id, now);
+          last = now;
+        }
+        Duration ready = last == null ? now : last.plus(wait);
+        if (now.compareTo(ready) >= 0) {
+          free.add(new ClusterView.FreeTask(task, history.attempts(), failures, last));
+        } else {
+          held += failures >= failureCap ? 1 : 0;
+          until = until == null || ready.compareTo(until) < 0 ? ready : until;
+        }
+      }
+    }
+    Map<String, Integer> perZone = Map.of();
+    if (job.oneZone() || job.spread()) {
+      perZone = perZone(entry);
+      if (perZone == null) {
+        // A task of it runs nobody knows where, so that no place is surely allowed.
+        return new SeenJob(new ClusterView.JobView(job, List.of(), Map.of(), held, begun), now);
+      }
+    }
+    return new SeenJob(new ClusterView.JobView(job, free, perZone, held, begun), until);
+  }
+
+  /** The owned tasks by zone; null if one is on a machine of which nothing is known. */
+  private Map<String, Integer> perZone(JobEntry entry) {
+    Map<String, Integer> result = new HashMap<>();
+    Map<Integer, Proofs.Proof> known = proofs.ofJob(entry.job().id());
+    for (JobEntry.Versioned item : entry.shards().values()) {
+      for (Attempt attempt : item.shard().owned().values()) {
+        if (!known.containsKey(attempt.task())) {
+          MachineState machine = fleet.get(attempt.machine());
+          if (machine == null || machine.zone.isEmpty()) {
+            return null;
+          }
+          result.merge(machine.zone, 1, Integer::sum);
+        }
+      }
+    }
+    return result;
+  }
+
+  /** A task that keeps failing at once must not fill every round. */
+  private static Duration backoff(int failures) {
+    if (failures < 2) {
+      return Duration.ZERO;
+    }
+    Duration wait = Duration.ofMillis(500L << Math.min(failures, 10));
+    return wait.compareTo(MAX_BACKOFF) < 0 ? wait : MAX_BACKOFF;
+  }
+}
--- a/src/main/java/io/cherryspool/controller/RoundWriter.java
+++ b/src/main/java/io/cherryspool/controller/RoundWriter.java
@@ -1,12 +1,10 @@
 package io.cherryspool.controller;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import io.cherryspool.duty.EventLoop;
 import io.cherryspool.store.Budget;
 import io.cherryspool.store.Records;
 import io.cherryspool.store.StateClient;
 import io.cherryspool.store.StateException;
-import io.cherryspool.wire.Json;
 import io.cherryspool.wire.StateWire;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -34,8 +32,8 @@
   private final long termVersion;
   private boolean stopped;
 
-  /** Changes that are committed together or not at all. */
-  record Unit(Map<String, Long> conditions, List<StateWire.Change> changes) {}
+  /** Changes that are committed together or not at all; {@code bytes} is what their values take. */
+  record Unit(Map<String, Long> conditions, List<StateWire.Change> changes, int bytes) {}
 
   RoundWriter(EventLoop loop, StateClient client, Budget budget, int maxChanges, long termVersion) {
     this.loop = loop;
@@ -61,7 +59,7 @@
     int bytes = 0;
     int taken = 0;
     for (Unit unit : units) {
-      int size = bytes(unit);
+      int size = unit.bytes + CHANGE_OVERHEAD * unit.changes.size();
       boolean full = changes + unit.changes.size() > limit || bytes + size > MAX_BYTES;
       if (full && !batch.isEmpty()) {
         if (!budget.takeWrites(Budget.Use.ROUND, changes)) {
@@ -122,7 +120,7 @@
                     });
                 return;
               }
-              if (kind == StateException.Kind.REFUSED) {
+              if (kind == StateException.Kind.REFUSED || kind == StateException.Kind.BUSY) {
                 budget.drain();
               } else if (kind != null) {
                 LOG.error("the state service rejects a round: {}", failure.toString());
@@ -132,13 +130,4 @@
               certain.run();
             });
   }
-
-  private static int bytes(Unit unit) {
-    int sum = 0;
-    for (StateWire.Change change : unit.changes) {
-      JsonNode value = change.value();
-      sum += CHANGE_OVERHEAD + (value == null ? 0 : Json.bytes(value).length);
-    }
-    return sum;
-  }
 }
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -3,70 +3,62 @@
 import io.cherryspool.duty.Duty;
 import io.cherryspool.duty.EventLoop;
 import io.cherryspool.model.Attempt;
-import io.cherryspool.model.Job;
 import io.cherryspool.model.MachineType;
-import io.cherryspool.model.Outcome;
-import io.cherryspool.model.Resources;
-import io.cherryspool.model.Shard;
-import io.cherryspool.model.TaskId;
 import io.cherryspool.model.Team;
 import io.cherryspool.scheduler.ClusterView;
 import io.cherryspool.scheduler.Placement;
 import io.cherryspool.scheduler.RoundPlan;
 import io.cherryspool.store.JobEntry;
-import io.cherryspool.store.Records;
 import io.cherryspool.store.Replica;
-import io.cherryspool.wire.StateWire;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * The leader's rounds: takes in what is proved, plans, commits, and only then lets the workers hear
- * of it. One round is under way at a time; an event starts the next after a short gathering, and
- * the round length is the longest that one waits.
+ * of it. One round is under way at a time; an event starts the next after a short gathering, longer
+ * where rounds cost more, and the round length is the longest that one waits.
  */
 final class Rounds implements Duty {
   private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
   private static final Duration GATHER = Duration.ofMillis(40);
   private static final Duration SPENT = Duration.ofMillis(120);
-  private static final int FREE_TASKS_PER_JOB = 512;
-  private static final Duration SHUN = Duration.ofSeconds(120);
-  private static final Duration MAX_BACKOFF = Duration.ofSeconds(30);
+
+  /** Rounds take at most about one part in so many of the processor. */
+  private static final int COST_SHARE = 4;
+
+  /** How long a proof that nothing waits for may wait for other changes of its shard. */
+  private static final Duration LAZY = Duration.ofMillis(2500);
 
   private final EventLoop loop;
   private final Replica replica;
   private final RoundWriter writer;
   private final Fleet fleet;
   private final Judge judge;
-  private final Stops stops;
+  private final Ledger ledger;
   private final Tokens tokens;
+  private final RoundView view;
   private final Map<String, Team> teams;
-  private final Map<String, List<Double>> deadlineTimes;
   private final Supplier<List<MachineType>> catalog;
-  private final Duration roundMax;
-  private final Duration reportLimit;
-  private final int failureCap;
-  private final int maxChanges;
+  private final Limits limits;
   private final Supplier<Instant> wall;
   private final Runnable committed;
-  private final Map<TaskId, Duration> lapsed = new HashMap<>();
+  private final Set<String> dirty = new LinkedHashSet<>();
   private final Map<String, Set<String>> failedOn = new HashMap<>();
   private List<RoundPlan.Unplaced> unplaced = List.of();
   private boolean placing;
   private boolean underWay;
   private boolean wanted;
   private Duration lastRun = Duration.ZERO;
+  private Duration lastCost = Duration.ZERO;
   private EventLoop.Timer timer;
   private EventLoop.Timer longest;
 
@@ -76,7 +68,7 @@
       RoundWriter writer,
       Fleet fleet,
       Judge judge,
-      Stops stops,
+      Ledger ledger,
       Tokens tokens,
       Map<String, Team> teams,
       Supplier<List<MachineType>> catalog,
@@ -88,30 +80,32 @@
     this.writer = writer;
     this.fleet = fleet;
     this.judge = judge;
-    this.stops = stops;
+    this.ledger = ledger;
     this.tokens = tokens;
     this.teams = teams;
-    this.deadlineTimes = limits.deadlineTimes();
     this.catalog = catalog;
-    this.roundMax = limits.roundMax();
-    this.reportLimit = limits.silence();
-    this.failureCap = limits.failureCap();
-    this.maxChanges = limits.maxChanges();
+    this.limits = limits;
     this.wall = wall;
     this.committed = committed;
+    this.view =
+        new RoundView(replica, fleet, ledger, tokens, limits.silence(), limits.failureCap());
   }
 
+  /** What the leader knows of owned tasks: by the records, by proof, and by its own decision. */
+  record Ledger(Ownership ownership, Proofs proofs, Stops stops) {}
+
   /** A round's sizes and times, from the settings. */
   record Limits(
       Duration roundMax,
       Duration silence,
+      Duration beginWithin,
       int failureCap,
       int maxChanges,
       Map<String, List<Double>> deadlineTimes) {}
 
   @Override
   public void start() {
-    longest = loop.schedule(roundMax, this::atLongest);
+    longest = loop.schedule(limits.roundMax(), this::atLongest);
     request();
   }
 
@@ -136,18 +130,55 @@
   void request() {
     wanted = true;
     if (timer == null && !underWay) {
-      timer = loop.schedule(GATHER, this::run);
+      Duration pause = lastRun.plus(lastCost.multipliedBy(COST_SHARE)).minus(loop.now());
+      timer = loop.schedule(pause.compareTo(GATHER) > 0 ? pause : GATHER, this::run);
+    }
+  }
+
+  /** The machine's messages, or what it owns, may prove something new. */
+  void machineTouched(String name) {
+    dirty.add(name);
+    MachineState machine = fleet.get(name);
+    if (machine != null) {
+      machine.view = null;
+    }
+  }
+
+  void jobTouched(JobEntry entry) {
+    view.jobTouched(entry);
+    if (entry.outcome() != null) {
+      failedOn.remove(entry.job().id());
     }
   }
 
+  /** The records were read anew. */
+  void reloaded() {
+    ledger.proofs().clear();
+    view.clear();
+    dirty.addAll(ledger.ownership().machines());
+  }
+
   /** What found no room in the last round that was planned. */
   List<RoundPlan.Unplaced> unplaced() {
     return unplaced;
   }
 
+  /**
+   * Time alone proves a silent machine's tasks lapsed, so the silent ones are looked at as well.
+   */
   private void atLongest() {
-    longest = loop.schedule(roundMax, this::atLongest);
-    if (loop.now().minus(lastRun).compareTo(roundMax) >= 0) {
+    longest = loop.schedule(limits.roundMax(), this::atLongest);
+    Duration now = loop.now();
+    for (String name : ledger.ownership().machines()) {
+      MachineState machine = fleet.get(name);
+      if (machine == null
+          || machine.gone
+          || machine.heard == null
+          || now.minus(machine.heard).compareTo(limits.silence()) > 0) {
+        dirty.add(name);
+      }
+    }
+    if (!dirty.isEmpty() || now.minus(lastRun).compareTo(limits.roundMax()) >= 0) {
       request();
     }
   }
@@ -159,15 +190,13 @@
     }
     wanted = false;
     lastRun = loop.now();
-    Ownership ownership = Ownership.of(replica);
-    Map<String, JobEdit> edits = new LinkedHashMap<>();
-    takeIn(ownership, edits);
+    takeIn();
+    RoundEdits edits = new RoundEdits(ledger.proofs(), limits.maxChanges());
     if (placing && catalog.get() != null) {
-      place(ownership, edits);
+      place(edits);
     }
-    List<RoundWriter.Unit> units = new ArrayList<>();
-    edits.values().forEach(edit -> addUnits(edit, units));
-    clean(edits.keySet(), units);
+    List<RoundWriter.Unit> units = edits.units(replica.active(), lastRun.minus(LAZY));
+    lastCost = loop.now().minus(lastRun);
     if (units.isEmpty()) {
       return;
     }
@@ -202,37 +231,27 @@
             });
   }
 
-  /** The pending changes of one job. */
-  private static final class JobEdit {
-    private final JobEntry entry;
-    private final Map<Integer, Shard.Editor> shards = new TreeMap<>();
-    private boolean assigns;
-
-    JobEdit(JobEntry entry) {
-      this.entry = entry;
-    }
-
-    Shard.Editor shard(int task) {
-      int index = entry.shardOf(task);
-      return shards.computeIfAbsent(index, key -> entry.shard(key).shard().edit());
-    }
-  }
-
-  private void takeIn(Ownership ownership, Map<String, JobEdit> edits) {
+  private void takeIn() {
     Duration now = loop.now();
     boolean fence = false;
-    for (String name : ownership.machines()) {
+    List<String> machines = List.copyOf(dirty);
+    dirty.clear();
+    for (String name : machines) {
       MachineState machine = fleet.get(name);
       if (machine == null && fleet.isGone(name)) {
         machine = new MachineState(name, "", "", false, now);
         machine.gone = true;
       }
-      for (Ownership.Owned owned : ownership.on(name)) {
+      for (Ownership.Owned owned : ledger.ownership().on(name)) {
+        if (ledger.proofs().has(owned)) {
+          continue;
+        }
         Judge.Verdict verdict = judge.judge(owned, machine, now);
         if (verdict == Judge.Verdict.NEEDS_FENCE) {
           fence = true;
+          dirty.add(name);
         } else if (verdict != Judge.Verdict.OWNED) {
-          take(owned, machine, verdict, edits, now);
+          take(owned, machine, verdict, now);
         }
       }
     }
@@ -242,26 +261,21 @@
   }
 
   private void take(
-      Ownership.Owned owned,
-      MachineState machine,
-      Judge.Verdict verdict,
-      Map<String, JobEdit> edits,
-      Duration now) {
+      Ownership.Owned owned, MachineState machine, Judge.Verdict verdict, Duration now) {
     JobEntry entry = owned.entry();
     Attempt attempt = owned.attempt();
-    JobEdit edit = edits.computeIfAbsent(entry.job().id(), key -> new JobEdit(entry));
-    Shard.Editor editor = edit.shard(attempt.task());
-    if (verdict == Judge.Verdict.DONE) {
-      editor.complete(attempt.task());
-      lapsed.remove(owned.id());
+    ledger.proofs().add(new Proofs.Proof(owned, verdict, now));
+    boolean done = verdict == Judge.Verdict.DONE;
+    view.ended(owned.id(), done, now);
+    if (machine != null) {
+      machine.view = null;
+    }
+    if (done) {
       if (machine != null) {
         machine.failuresInARow = 0;
       }
       return;
     }
-    boolean failed = verdict == Judge.Verdict.FAILED || verdict == Judge.Verdict.LAPSED;
-    editor.release(attempt.task(), failed);
-    lapsed.put(owned.id(), now);
     if (verdict != Judge.Verdict.ENDED) {
       LOG.info(
           "task {} try {} on {}: {}", owned.id(), attempt.number(), attempt.machine(), verdict);
@@ -283,37 +297,32 @@
     }
   }
 
-  private void place(Ownership ownership, Map<String, JobEdit> edits) {
-    Map<String, MachineType> types = new HashMap<>();
-    catalog.get().forEach(type -> types.put(type.name(), type));
+  private void place(RoundEdits edits) {
     Duration now = loop.now();
-    Map<String, Map<String, Integer>> perZone = new HashMap<>();
-    List<ClusterView.MachineView> machines = machines(ownership, types, perZone, now);
-    List<ClusterView.JobView> jobs = new ArrayList<>();
-    for (JobEntry entry : replica.active()) {
-      if (entry.outcome() == null) {
-        jobs.add(jobView(entry, edits, perZone.getOrDefault(entry.job().id(), Map.of()), now));
-      }
+    List<ClusterView.JobView> jobs = view.jobs(now);
+    if (jobs.isEmpty()) {
+      unplaced = List.of();
+      return;
     }
     RoundPlan plan =
         Placement.plan(
             new ClusterView(
                 wall.get(),
+                now,
+                limits.beginWithin(),
                 jobs,
-                machines,
+                view.machines(catalog.get(), now),
                 teams,
-                ownership.byTeam(),
+                view.teamUse(),
+                view.owed(teams),
                 catalog.get(),
-                deadlineTimes));
+                limits.deadlineTimes()));
     unplaced = plan.unplaced();
     for (RoundPlan.Assignment item : plan.assignments()) {
       JobEntry entry = replica.job(item.job());
       MachineState machine = fleet.get(item.machine());
-      JobEdit edit = edits.computeIfAbsent(item.job(), key -> new JobEdit(entry));
-      edit.assigns = true;
-      stops.clear(new TaskId(item.job(), item.task()));
-      edit.shard(item.task())
-          .assign(item.task(), item.machine(), machine.latest.session(), tokens.current() + 1);
+      edits.assign(
+          entry, item.task(), item.machine(), machine.latest.session(), tokens.current() + 1);
       Fleet.addImage(machine, entry.job().image());
     }
     for (RoundPlan.Stop stop : plan.stops()) {
@@ -321,190 +330,13 @@
       int number = stop.task().number();
       Attempt attempt = entry.shard(entry.shardOf(number)).shard().owner(number);
       if (attempt != null) {
-        LOG.info("stopping {} on {} for work of higher priority", stop.task(), attempt.machine());
-        stops.add(stop.task(), attempt.number(), stop.grace());
-      }
-    }
-  }
-
-  private List<ClusterView.MachineView> machines(
-      Ownership ownership,
-      Map<String, MachineType> types,
-      Map<String, Map<String, Integer>> perZone,
-      Duration now) {
-    List<ClusterView.MachineView> views = new ArrayList<>();
-    for (MachineState machine : fleet.all()) {
-      MachineType type = types.get(machine.type);
-      if (type == null) {
-        continue;
-      }
-      Resources free = type.size();
-      List<ClusterView.RunningTask> running = new ArrayList<>();
-      for (Ownership.Owned owned : ownership.on(machine.name)) {
-        Job job = owned.entry().job();
-        free = free.minus(job.perTask());
-        perZone
-            .computeIfAbsent(job.id(), key -> new HashMap<>())
-            .merge(machine.zone, 1, Integer::sum);
-        Duration since = machine.runningSince.get(owned.id());
-        running.add(
-            new ClusterView.RunningTask(
-                owned.id(),
-                job,
-                since == null ? Duration.ZERO : now.minus(since),
-                stops.of(owned) != null));
+        LOG.info("stopping {} on {} for other work", stop.task(), attempt.machine());
+        ledger.stops().add(stop.task(), attempt.number(), stop.grace());
+        machineTouched(attempt.machine());
       }
-      machine.failedJobs.values().removeIf(at -> now.minus(at).compareTo(SHUN) > 0);
-      views.add(
-          new ClusterView.MachineView(
-              machine.name,
-              type,
-              machine.zone,
-              machine.spot,
-              usable(machine, now),
-              free,
-              machine.images,
-              machine.failedJobs.keySet(),
-              running));
     }
-    return views;
-  }
-
-  private boolean usable(MachineState machine, Duration now) {
-    return machine.latest != null
-        && !machine.gone
-        && !machine.deleting
-        && machine.latest.token() > tokens.base()
-        && machine.latest.notice() == null
-        && machine.failuresInARow < Rental.SICK
-        && now.minus(machine.heard).compareTo(reportLimit) < 0;
-  }
-
-  /** The job's free tasks. Those freed in this very round wait for the next one. */
-  private ClusterView.JobView jobView(
-      JobEntry entry, Map<String, JobEdit> edits, Map<String, Integer> perZone, Duration now) {
-    List<ClusterView.FreeTask> free = new ArrayList<>();
-    int held = 0;
-    JobEdit edit = edits.get(entry.job().id());
-    for (int index = 0; index < entry.shardCount() && free.size() < FREE_TASKS_PER_JOB; index++) {
-      if (edit != null && edit.shards.containsKey(index)) {
-        wanted = true;
-        continue;
-      }
-      Shard shard = entry.shard(index).shard();
-      int end = entry.endTask(index);
-      for (int task = shard.nextUndone(entry.firstTask(index));
-          task < end && free.size() < FREE_TASKS_PER_JOB;
-          task = shard.nextUndone(task + 1)) {
-        if (shard.owner(task) != null) {
-          continue;
-        }
-        Shard.History history = shard.history(task);
-        Duration last = lapsed.get(new TaskId(entry.job().id(), task));
-        if (history.failures() >= failureCap) {
-          held++;
-        } else if (last == null || now.minus(last).compareTo(backoff(history.failures())) >= 0) {
-          free.add(new ClusterView.FreeTask(task, history.attempts(), history.failures(), last));
-        }
-      }
-    }
-    return new ClusterView.JobView(entry.job(), free, perZone, held);
-  }
-
-  /** A task that keeps failing at once must not fill every round. */
-  private static Duration backoff(int failures) {
-    if (failures < 2) {
-      return Duration.ZERO;
-    }
-    Duration wait = Duration.ofMillis(500L << Math.min(failures, 10));
-    return wait.compareTo(MAX_BACKOFF) < 0 ? wait : MAX_BACKOFF;
-  }
-
-  private void addUnits(JobEdit edit, List<RoundWriter.Unit> units) {
-    JobEntry entry = edit.entry;
-    String id = entry.job().id();
-    Map<Integer, Shard> built = new TreeMap<>();
-    edit.shards.forEach((index, editor) -> built.put(index, editor.build()));
-    if (entry.outcome() == null && complete(entry, built)) {
-      if (built.size() + 1 <= maxChanges) {
-        units.add(ending(entry, built));
-        return;
-      }
-    }
-    built.forEach(
-        (index, shard) -> {
-          Map<String, Long> conditions = new LinkedHashMap<>();
-          conditions.put(Records.progress(id, index), entry.shard(index).version());
-          if (edit.assigns) {
-            // After a cancel is committed nothing of the job may be assigned.
-            conditions.put(Records.outcome(id), 0L);
-          }
-          boolean over = entry.outcome() != null && shard.owned().isEmpty();
-          units.add(
-              new RoundWriter.Unit(
-                  conditions,
-                  List.of(
-                      new StateWire.Change(
-                          Records.progress(id, index), over ? null : Records.shard(shard), 0))));
-        });
-  }
-
-  private static boolean complete(JobEntry entry, Map<Integer, Shard> built) {
-    int done = 0;
-    for (int index = 0; index < entry.shardCount(); index++) {
-      Shard shard = built.get(index);
-      done += (shard == null ? entry.shard(index).shard() : shard).doneCount();
-    }
-    return done == entry.job().tasks();
-  }
-
-  /** The job's last tasks and its outcome, together; its progress records go as far as they fit. */
-  private RoundWriter.Unit ending(JobEntry entry, Map<Integer, Shard> built) {
-    String id = entry.job().id();
-    Map<String, Long> conditions = new LinkedHashMap<>();
-    List<StateWire.Change> changes = new ArrayList<>();
-    conditions.put(Records.outcome(id), 0L);
-    changes.add(new StateWire.Change(Records.outcome(id), Records.outcome(Outcome.DONE), 0));
-    boolean whole = entry.shards().size() + 1 <= maxChanges;
-    built.forEach(
-        (index, shard) -> {
-          conditions.put(Records.progress(id, index), entry.shard(index).version());
-          if (!whole) {
-            changes.add(new StateWire.Change(Records.progress(id, index), Records.shard(shard), 0));
-          }
-        });
-    if (whole) {
-      for (int index : entry.shards().keySet()) {
-        changes.add(new StateWire.Change(Records.progress(id, index), null, 0));
-      }
-    }
-    LOG.info("job {} is done", id);
-    return new RoundWriter.Unit(conditions, changes);
-  }
-
-  /** Ends jobs whose last shards were committed apart, and removes records of ended jobs. */
-  private void clean(Set<String> edited, List<RoundWriter.Unit> units) {
-    for (JobEntry entry : replica.active()) {
-      String id = entry.job().id();
-      if (edited.contains(id)) {
-        continue;
-      }
-      if (entry.outcome() == null) {
-        if (complete(entry, Map.of())) {
-          units.add(ending(entry, Map.of()));
-        }
-        continue;
-      }
-      failedOn.remove(id);
-      for (int index : entry.shards().keySet()) {
-        JobEntry.Versioned item = entry.shard(index);
-        if (item.shard().owned().isEmpty()) {
-          units.add(
-              new RoundWriter.Unit(
-                  Map.of(Records.progress(id, index), item.version()),
-                  List.of(new StateWire.Change(Records.progress(id, index), null, 0))));
-        }
-      }
+    if (!plan.stops().isEmpty()) {
+      committed.run();
     }
   }
 }
--- a/src/main/java/io/cherryspool/controller/Stops.java
+++ b/src/main/java/io/cherryspool/controller/Stops.java
@@ -12,8 +12,12 @@
 
   private record Stop(int attempt, Duration grace) {}
 
+  /** The first stop of an attempt counts; one of an earlier attempt means nothing for this one. */
   void add(TaskId task, int attempt, Duration grace) {
-    stops.putIfAbsent(task, new Stop(attempt, grace));
+    stops.compute(
+        task,
+        (key, known) ->
+            known == null || known.attempt < attempt ? new Stop(attempt, grace) : known);
   }
 
   /** The grace of the stop that the attempt is under, or null if it is to go on. */
@@ -25,7 +29,11 @@
     return stop != null && stop.attempt == owned.attempt().number() ? stop.grace : null;
   }
 
-  void clear(TaskId task) {
-    stops.remove(task);
+  /** The records have released the attempt, so nothing is left to stop. */
+  void drop(Ownership.Owned owned) {
+    Stop stop = stops.get(owned.id());
+    if (stop != null && stop.attempt <= owned.attempt().number()) {
+      stops.remove(owned.id());
+    }
   }
 }
--- a/src/main/java/io/cherryspool/model/Resources.java
+++ b/src/main/java/io/cherryspool/model/Resources.java
@@ -19,6 +19,21 @@
     return new Resources(cpus * count, gpus * count, memoryGb * count);
   }
 
+  /** How many such amounts fit into the room, at most {@code wanted}. */
+  public int timesIn(Resources room, int wanted) {
+    double count = wanted;
+    if (cpus > 0) {
+      count = Math.min(count, Math.floor((room.cpus + EPSILON) / cpus));
+    }
+    if (gpus > 0) {
+      count = Math.min(count, Math.floor((room.gpus + EPSILON) / gpus));
+    }
+    if (memoryGb > 0) {
+      count = Math.min(count, Math.floor((room.memoryGb + EPSILON) / memoryGb));
+    }
+    return (int) Math.max(0, count);
+  }
+
   public boolean fitsIn(Resources room) {
     return cpus <= room.cpus + EPSILON
         && gpus <= room.gpus + EPSILON
--- a/src/main/java/io/cherryspool/scheduler/ClusterView.java
+++ b/src/main/java/io/cherryspool/scheduler/ClusterView.java
@@ -11,21 +11,32 @@
 import java.util.Map;
 import java.util.Set;
 
-/** All that a round is planned from. Plain values, so that the same view gives the same plan. */
+/**
+ * All that a round is planned from. Plain values, so that the same view gives the same plan.
+ *
+ * @param clock the steady clock, for how long tasks have run
+ * @param owed the teams whose unfinished work all fits into their guarantee
+ * @param beginWithin the age at which a job that has not begun goes before all others
+ */
 public record ClusterView(
     Instant now,
+    Duration clock,
+    Duration beginWithin,
     List<JobView> jobs,
     List<MachineView> machines,
     Map<String, Team> teams,
     Map<String, Resources> teamUse,
+    Set<String> owed,
     List<MachineType> catalog,
     Map<String, List<Double>> deadlineTimes) {
 
   /**
    * A job with its free tasks. {@code held} counts those that the failure cap keeps back; they are
-   * not among {@code free}. {@code perZone} counts the owned tasks by zone.
+   * not among {@code free}. {@code perZone} counts the owned tasks by zone, and is empty for a job
+   * to which zones are all the same. {@code begun} tells whether any task was ever started.
    */
-  public record JobView(Job job, List<FreeTask> free, Map<String, Integer> perZone, int held) {}
+  public record JobView(
+      Job job, List<FreeTask> free, Map<String, Integer> perZone, int held, boolean begun) {}
 
   /**
    * A task without an owner; {@code lapsed} is when its last attempt ended, null for a first one.
@@ -44,6 +55,6 @@
       Set<String> shunnedBy,
       List<RunningTask> running) {}
 
-  /** An owned task as far as stopping it is concerned. */
-  public record RunningTask(TaskId task, Job job, Duration runFor, boolean stopping) {}
+  /** An owned task as far as stopping it is concerned; {@code since} is null until it runs. */
+  public record RunningTask(TaskId task, Job job, Duration since, boolean stopping) {}
 }
--- a/src/main/java/io/cherryspool/scheduler/FleetPlan.java
+++ b/src/main/java/io/cherryspool/scheduler/FleetPlan.java
@@ -5,6 +5,7 @@
 import io.cherryspool.model.Resources;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,22 +34,22 @@
 
   private final View view;
   private final List<Bin> bins = new ArrayList<>();
+  private final Map<Offer, Integer> crowds = new HashMap<>();
   private final Map<Offer, Integer> rentals = new LinkedHashMap<>();
 
   private FleetPlan(View view) {
     this.view = view;
-    view.incoming().forEach(offer -> bins.add(new Bin(offer)));
+    for (Offer offer : view.incoming()) {
+      bins.add(new Bin(offer));
+      crowds.merge(offer, 1, Integer::sum);
+    }
   }
 
   /** What to rent, by offer. */
   public static Map<Offer, Integer> rentals(View view) {
     FleetPlan plan = new FleetPlan(view);
     for (RoundPlan.Unplaced item : view.unplaced()) {
-      for (int i = 0; i < item.tasks(); i++) {
-        if (!plan.pack(item.job())) {
-          break;
-        }
-      }
+      plan.pack(item.job(), item.tasks());
     }
     return plan.rentals;
   }
@@ -73,52 +74,60 @@
       this.offer = offer;
       this.free = offer.type().size();
     }
+
+    /** Takes as many of the tasks as fit, and returns how many. */
+    int fill(Job job, int wanted) {
+      int count = job.perTask().timesIn(free, wanted);
+      free = count == 0 ? free : free.minus(job.perTask().times(count));
+      return count;
+    }
   }
 
-  private boolean pack(Job job) {
-    for (Bin bin : bins) {
-      if (job.perTask().fitsIn(bin.free) && allows(job, bin.offer)) {
-        bin.free = bin.free.minus(job.perTask());
-        return true;
+  private void pack(Job job, int tasks) {
+    int left = tasks;
+    for (int i = 0; i < bins.size() && left > 0; i++) {
+      Bin bin = bins.get(i);
+      if (allows(job, bin.offer)) {
+        left -= bin.fill(job, left);
+      }
+    }
+    while (left > 0) {
+      Offer best = cheapest(job);
+      if (best == null) {
+        return;
       }
+      Bin bin = new Bin(best);
+      left -= bin.fill(job, left);
+      bins.add(bin);
+      crowds.merge(best, 1, Integer::sum);
+      rentals.merge(best, 1, Integer::sum);
     }
+  }
+
+  private Offer cheapest(Job job) {
     Offer best = null;
     double bestCost = Double.MAX_VALUE;
     for (MachineType type : view.catalog()) {
+      int places = job.perTask().timesIn(type.size(), 1000);
+      if (places == 0) {
+        continue;
+      }
       for (String zone : type.zones()) {
         for (boolean spot : new boolean[] {true, false}) {
           Offer offer = new Offer(type, zone, spot);
-          if (!allows(job, offer) || view.soldOut().contains(offer)) {
-            continue;
-          }
-          double cost = cost(job, offer);
-          if (cost < bestCost) {
-            best = offer;
-            bestCost = cost;
+          if (allows(job, offer) && !view.soldOut().contains(offer)) {
+            // The price of a task's place, with a little against crowding one zone.
+            int crowd = crowds.getOrDefault(offer, 0);
+            double cost = type.price(spot) / places * (1 + 0.001 * crowd);
+            if (cost < bestCost) {
+              best = offer;
+              bestCost = cost;
+            }
           }
         }
       }
     }
-    if (best == null) {
-      return false;
-    }
-    Bin bin = new Bin(best);
-    bin.free = bin.free.minus(job.perTask());
-    bins.add(bin);
-    rentals.merge(best, 1, Integer::sum);
-    return true;
-  }
-
-  /** Price of a task's place, with a little against crowding one zone. */
-  private double cost(Job job, Offer offer) {
-    int places = 0;
-    Resources room = offer.type().size();
-    while (places < 1000 && job.perTask().fitsIn(room)) {
-      room = room.minus(job.perTask());
-      places++;
-    }
-    long crowd = bins.stream().filter(bin -> bin.offer.equals(offer)).count();
-    return offer.type().price(offer.spot()) / places * (1 + 0.001 * crowd);
+    return best;
   }
 
   private static boolean allows(Job job, Offer offer) {
--- a/src/main/java/io/cherryspool/scheduler/Placement.java
+++ b/src/main/java/io/cherryspool/scheduler/Placement.java
@@ -7,33 +7,42 @@
 import io.cherryspool.scheduler.ClusterView.JobView;
 import io.cherryspool.scheduler.ClusterView.MachineView;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 
 /**
  * Plans a round: walks the queue and gives each task the best machine with room. A machine that has
- * the image, or is fetching it, is preferred, then the tightest fit.
+ * the image, or is fetching it, is preferred, then the tightest fit. The cost follows what can be
+ * placed: full machines are left out, a job's equal tasks are placed together, and a task that
+ * finds no room speaks for all that need as much.
  */
 public final class Placement {
   /** How much room left over a cheaper hour of a CPU is worth. */
   private static final double CPUS_PER_PRICE = 100;
 
+  /** A machine with less than this left takes no task. */
+  private static final double NO_CPUS = 0.01;
+
   private final ClusterView view;
   private final Map<String, Resources> use;
   private final List<Bin> bins = new ArrayList<>();
   private final Map<String, Map<String, Integer>> zones = new HashMap<>();
+  private final List<Failure> failures = new ArrayList<>();
   private final List<RoundPlan.Assignment> assignments = new ArrayList<>();
   private final List<RoundPlan.Unplaced> unplaced = new ArrayList<>();
   private final List<RoundPlan.Unplaced> atLimit = new ArrayList<>();
+  private int considered;
 
   private Placement(ClusterView view) {
     this.view = view;
     this.use = new HashMap<>(view.teamUse());
     for (MachineView machine : view.machines()) {
-      if (machine.usable()) {
+      if (machine.usable() && machine.free().cpus() > NO_CPUS) {
         bins.add(new Bin(machine));
       }
     }
@@ -44,90 +53,143 @@
     QueueOrder.of(view).forEach(placement::place);
     return new RoundPlan(
         placement.assignments,
-        Preemption.plan(
-            view, placement.unplaced, placement.atLimit, placement.use, placement.assignments),
-        placement.unplaced);
+        Preemption.plan(view, placement.unplaced, placement.atLimit, placement.assignments),
+        placement.unplaced,
+        placement.considered);
   }
 
   /** A machine while the plan fills it. */
   private static final class Bin {
     private final MachineView machine;
-    private final Set<String> images;
+    private final Set<String> added = new HashSet<>(2);
     private Resources free;
+    private double score;
 
     Bin(MachineView machine) {
       this.machine = machine;
       this.free = machine.free();
-      this.images = new HashSet<>(machine.images());
+    }
+
+    boolean hasImage(String image) {
+      return machine.images().contains(image) || added.contains(image);
     }
   }
 
-  private void place(QueueOrder.Entry entry) {
-    JobView view = entry.job();
-    Job job = view.job();
-    Map<String, Integer> perZone =
-        zones.computeIfAbsent(job.id(), key -> new HashMap<>(view.perZone()));
-    Team team = this.view.teams().get(job.team());
-    int left = entry.tasks().size();
-    for (int task : entry.tasks()) {
-      Resources after = use.getOrDefault(job.team(), Resources.NONE).plus(job.perTask());
-      if (team == null || !team.allows(after)) {
-        atLimit.add(new RoundPlan.Unplaced(job, left));
-        return;
-      }
-      Bin best = best(job, perZone, left);
-      if (best == null) {
-        unplaced.add(new RoundPlan.Unplaced(job, allowed(team, job, left)));
-        return;
-      }
-      best.free = best.free.minus(job.perTask());
-      best.images.add(job.image());
-      perZone.merge(best.machine.zone(), 1, Integer::sum);
-      use.put(job.team(), after);
-      assignments.add(new RoundPlan.Assignment(job.id(), task, best.machine.name()));
-      left--;
+  /** A demand for which no machine has room any more in this round. */
+  private record Failure(Resources each, List<String> types, String zone, boolean spot) {
+    boolean covers(Job job) {
+      return each.fitsIn(job.perTask())
+          && Objects.equals(types, job.types())
+          && Objects.equals(zone, job.zone())
+          && (spot || !job.spotAllowed());
     }
   }
 
-  /** How many more tasks the team's limit lets run, and counts them as used. */
-  private int allowed(Team team, Job job, int wanted) {
+  private void place(QueueOrder.Entry entry) {
+    Job job = entry.job().job();
+    Team team = view.teams().get(job.team());
+    List<Integer> tasks = entry.tasks();
     Resources total = use.getOrDefault(job.team(), Resources.NONE);
-    int count = 0;
-    while (count < wanted && team.allows(total.plus(job.perTask()))) {
-      total = total.plus(job.perTask());
-      count++;
+    int allowed = team == null ? 0 : team.room(total, job.perTask(), tasks.size());
+    if (allowed < tasks.size()) {
+      atLimit.add(new RoundPlan.Unplaced(job, tasks.size() - allowed));
+    }
+    if (allowed == 0) {
+      if (entry.front()) {
+        // What the team's others give back next is kept for it.
+        use.put(job.team(), total.plus(job.perTask()));
+      }
+      return;
+    }
+    use.put(job.team(), total.plus(job.perTask().times(allowed)));
+    int placed = fill(entry.job(), tasks.subList(0, allowed));
+    if (placed < allowed) {
+      unplaced.add(new RoundPlan.Unplaced(job, allowed - placed));
+      if (entry.front()) {
+        reserve(job);
+      }
     }
-    use.put(job.team(), total);
-    return count;
   }
 
-  private Bin best(Job job, Map<String, Integer> perZone, int wanted) {
-    String only = job.oneZone() ? togetherZone(job, perZone, wanted) : null;
+  /** Places the tasks in order as far as machines have room, and returns how many. */
+  private int fill(JobView of, List<Integer> tasks) {
+    Job job = of.job();
+    boolean anywhere = !job.oneZone() && !job.spread();
+    if (anywhere && failures.stream().anyMatch(failure -> failure.covers(job))) {
+      return 0;
+    }
+    Map<String, Integer> perZone =
+        anywhere ? null : zones.computeIfAbsent(job.id(), key -> new HashMap<>(of.perZone()));
+    String only = job.oneZone() ? togetherZone(job, perZone, tasks.size()) : null;
     if (job.oneZone() && only == null) {
-      return null;
+      return 0;
     }
-    Bin best = null;
-    double bestScore = Double.MAX_VALUE;
+    List<Bin> candidates = new ArrayList<>();
+    boolean shunned = false;
     for (Bin bin : bins) {
-      if (!fits(job, bin)
-          || only != null && !only.equals(bin.machine.zone())
-          || perZone.getOrDefault(bin.machine.zone(), 0) >= job.zoneShare()) {
-        continue;
+      considered++;
+      if (fits(job, bin) && (only == null || only.equals(bin.machine.zone()))) {
+        if (bin.machine.shunnedBy().contains(job.id())) {
+          shunned = true;
+        } else {
+          bin.score = score(job, bin);
+          candidates.add(bin);
+        }
+      }
+    }
+    // A bin only gets better while it is filled, so that the order found at first stays right.
+    candidates.sort(Comparator.comparingDouble(bin -> bin.score));
+    int placed = 0;
+    for (Bin bin : candidates) {
+      int room = tasks.size() - placed;
+      if (room == 0) {
+        break;
+      }
+      if (perZone != null) {
+        int there = perZone.getOrDefault(bin.machine.zone(), 0);
+        room = Math.min(room, job.zoneShare() - there);
       }
-      double score = score(job, bin);
-      if (score < bestScore) {
-        best = bin;
-        bestScore = score;
+      int count = room <= 0 ? 0 : job.perTask().timesIn(bin.free, room);
+      for (int i = 0; i < count; i++) {
+        assignments.add(
+            new RoundPlan.Assignment(job.id(), tasks.get(placed++), bin.machine.name()));
+      }
+      if (count > 0) {
+        bin.free = bin.free.minus(job.perTask().times(count));
+        bin.added.add(job.image());
+        if (perZone != null) {
+          perZone.merge(bin.machine.zone(), count, Integer::sum);
+        }
       }
     }
-    return best;
+    if (anywhere && !shunned && placed < tasks.size()) {
+      failures.add(new Failure(job.perTask(), job.types(), job.zone(), job.spotAllowed()));
+    }
+    bins.removeIf(bin -> bin.free.cpus() <= NO_CPUS);
+    return placed;
+  }
+
+  /**
+   * Keeps the machine that is nearest to having room for a task that goes before all others:
+   * smaller work would otherwise fill each piece as it falls free.
+   */
+  private void reserve(Job job) {
+    Bin nearest = null;
+    for (Bin bin : bins) {
+      MachineView machine = bin.machine;
+      if (Rules.allows(job, machine.type(), machine.zone(), machine.spot())
+          && !machine.shunnedBy().contains(job.id())
+          && (nearest == null || bin.free.cpus() > nearest.free.cpus())) {
+        nearest = bin;
+      }
+    }
+    bins.remove(nearest);
   }
 
   private static boolean fits(Job job, Bin bin) {
     MachineView machine = bin.machine;
     return job.perTask().fitsIn(bin.free)
-        && Rules.allows(job, machine.type(), machine.zone(), machine.spot())
-        && !machine.shunnedBy().contains(job.id());
+        && Rules.allows(job, machine.type(), machine.zone(), machine.spot());
   }
 
   /**
@@ -135,7 +197,7 @@
    * so that dear machines fall idle first and can be given back.
    */
   private static double score(Job job, Bin bin) {
-    double fetch = bin.images.contains(job.image()) ? 0 : job.imageGb() / rate(bin) * 10;
+    double fetch = bin.hasImage(job.image()) ? 0 : job.imageGb() / rate(bin) * 10;
     Resources left = bin.free.minus(job.perTask());
     MachineView machine = bin.machine;
     MachineType type = machine.type();
@@ -156,13 +218,8 @@
     }
     Map<String, Integer> room = new HashMap<>();
     for (Bin bin : bins) {
-      Resources free = bin.free;
-      int count = 0;
-      while (count < wanted && fits(job, bin) && job.perTask().fitsIn(free)) {
-        free = free.minus(job.perTask());
-        count++;
-      }
-      if (count > 0) {
+      if (fits(job, bin) && !bin.machine.shunnedBy().contains(job.id())) {
+        int count = job.perTask().timesIn(bin.free, wanted);
         room.merge(bin.machine.zone(), count, Integer::sum);
       }
     }
--- a/src/main/java/io/cherryspool/scheduler/QueueOrder.java
+++ b/src/main/java/io/cherryspool/scheduler/QueueOrder.java
@@ -14,11 +14,20 @@
  * to the source, see docs/design.md), then as the design's source orders compaction jobs, lower
  * level first, unassigned before lapsed, fewer failures, earliest lapse. The source's level tells
  * small work from large; here it is the size of the whole job, by powers of four.
+ *
+ * <p>Teams whose unfinished work all fits into their guarantee need not wait for other teams, so
+ * theirs goes before that of teams which borrow.
+ *
+ * <p>Age keeps this from starving anyone: a job that has not begun at the age of {@code
+ * beginWithin} has one task put before everything else, at one and a half times that age a job
+ * counts as one priority higher, and a job whose deadlines are all lost is due at three times that
+ * age.
  */
 final class QueueOrder {
   private static final Comparator<Entry> ORDER =
-      Comparator.comparing((Entry entry) -> entry.job().job().priority())
-          .reversed()
+      Comparator.comparing((Entry entry) -> !entry.front())
+          .thenComparing(entry -> !entry.owed())
+          .thenComparingInt(entry -> -entry.rank())
           .thenComparing(Entry::due)
           .thenComparingInt(Entry::level)
           .thenComparing(Entry::retried)
@@ -34,6 +43,9 @@
   /** Tasks of one job that have the same place in the queue. */
   record Entry(
       JobView job,
+      boolean front,
+      boolean owed,
+      int rank,
       Instant due,
       int level,
       boolean retried,
@@ -44,27 +56,69 @@
   static List<Entry> of(ClusterView cluster) {
     List<Entry> entries = new ArrayList<>();
     for (JobView view : cluster.jobs()) {
-      Instant due = due(view.job(), cluster);
-      int level = level(view.job());
+      Job job = view.job();
+      Duration age = Duration.between(job.submitted(), cluster.now());
+      Duration patience = cluster.beginWithin();
+      boolean front = !view.begun() && age.compareTo(patience) >= 0;
+      boolean owed = cluster.owed().contains(job.team());
+      int rank = rank(job, cluster);
+      Instant due = due(job, cluster);
+      int level = level(job);
       List<Integer> fresh = new ArrayList<>();
       for (FreeTask task : view.free()) {
-        if (task.attempts() == 0) {
+        if (front) {
+          entries.add(
+              new Entry(
+                  view,
+                  true,
+                  owed,
+                  rank,
+                  due,
+                  level,
+                  false,
+                  0,
+                  Duration.ZERO,
+                  List.of(task.number())));
+          front = false;
+        } else if (task.attempts() == 0) {
           fresh.add(task.number());
         } else {
           Duration lapsed = task.lapsed() == null ? Duration.ZERO : task.lapsed();
           entries.add(
-              new Entry(view, due, level, true, task.failures(), lapsed, List.of(task.number())));
+              new Entry(
+                  view,
+                  false,
+                  owed,
+                  rank,
+                  due,
+                  level,
+                  true,
+                  task.failures(),
+                  lapsed,
+                  List.of(task.number())));
         }
       }
       if (!fresh.isEmpty()) {
-        entries.add(new Entry(view, due, level, false, 0, Duration.ZERO, fresh));
+        entries.add(new Entry(view, false, owed, rank, due, level, false, 0, Duration.ZERO, fresh));
       }
     }
     entries.sort(ORDER);
     return entries;
   }
 
-  /** The next moment named by the aims that one more run of its tasks can still meet. */
+  /**
+   * The job's priority, one higher from an age on at which it must not wait for others any more.
+   */
+  static int rank(Job job, ClusterView cluster) {
+    Duration age = Duration.between(job.submitted(), cluster.now());
+    boolean aged = age.compareTo(cluster.beginWithin().multipliedBy(3).dividedBy(2)) >= 0;
+    return job.priority().ordinal() + (aged ? 1 : 0);
+  }
+
+  /**
+   * The next moment named by the aims that one more run of its tasks can still meet; when all are
+   * lost, an age at which others must not go before it any more.
+   */
   static Instant due(Job job, ClusterView cluster) {
     if (job.deadline() != null) {
       Instant soonest = cluster.now().plus(job.estimate());
@@ -75,7 +129,7 @@
         }
       }
     }
-    return Instant.MAX;
+    return job.submitted().plus(cluster.beginWithin().multipliedBy(3));
   }
 
   static int level(Job job) {
--- a/src/main/java/io/cherryspool/scheduler/RoundPlan.java
+++ b/src/main/java/io/cherryspool/scheduler/RoundPlan.java
@@ -5,8 +5,13 @@
 import java.time.Duration;
 import java.util.List;
 
-/** What a round decides: the assignments, the tasks to stop for others, and what found no room. */
-public record RoundPlan(List<Assignment> assignments, List<Stop> stops, List<Unplaced> unplaced) {
+/**
+ * What a round decides: the assignments, the tasks to stop for others, and what found no room.
+ *
+ * @param considered how many machines were looked at for tasks, which is what a plan costs
+ */
+public record RoundPlan(
+    List<Assignment> assignments, List<Stop> stops, List<Unplaced> unplaced, int considered) {
 
   /** A free task given to a machine. */
   public record Assignment(String job, int task, String machine) {}
--- a/src/main/java/io/cherryspool/store/JobEntry.java
+++ b/src/main/java/io/cherryspool/store/JobEntry.java
@@ -19,6 +19,8 @@
   private final int tasksPerShard;
   private final Int2ObjectSortedMap<Versioned> shards = new Int2ObjectAVLTreeMap<>();
   private Outcome outcome;
+  private int done;
+  private int owned;
 
   JobEntry(Job job, int tasksPerShard) {
     this.job = job;
@@ -65,34 +67,26 @@
     return Int2ObjectSortedMaps.unmodifiable(shards);
   }
 
+  /** How many tasks are done; kept as the records change, since every round and poll asks. */
   public int doneCount() {
-    if (outcome == Outcome.DONE) {
-      return job.tasks();
-    }
-    int count = 0;
-    for (Versioned item : shards.values()) {
-      count += item.shard().doneCount();
-    }
-    return count;
+    return outcome == Outcome.DONE ? job.tasks() : done;
   }
 
   public int ownedCount() {
-    int count = 0;
-    for (Versioned item : shards.values()) {
-      count += item.shard().owned().size();
-    }
-    return count;
+    return owned;
   }
 
   void setOutcome(Outcome value) {
     outcome = value;
   }
 
-  void setShard(int index, Versioned value) {
-    if (value == null) {
-      shards.remove(index);
-    } else {
-      shards.put(index, value);
-    }
+  /** Replaces a shard's record and returns what it was before. */
+  Shard setShard(int index, Versioned value) {
+    Versioned before = value == null ? shards.remove(index) : shards.put(index, value);
+    Shard old = before == null ? Shard.EMPTY : before.shard();
+    Shard now = value == null ? Shard.EMPTY : value.shard();
+    done += now.doneCount() - old.doneCount();
+    owned += now.owned().size() - old.owned().size();
+    return old;
   }
 }
--- a/src/main/java/io/cherryspool/store/Records.java
+++ b/src/main/java/io/cherryspool/store/Records.java
@@ -127,6 +127,19 @@
     return node;
   }
 
+  /** At most so many bytes of JSON, without writing it. */
+  public static int sizeOf(Shard shard) {
+    int bytes = 40 + shard.histories().size() * 24;
+    for (Attempt attempt : shard.owned().values()) {
+      bytes += attempt.machine().length() + 52;
+    }
+    int ranges = 0;
+    for (int first = shard.nextDone(0); first >= 0; ranges++) {
+      first = shard.nextDone(shard.nextUndone(first));
+    }
+    return bytes + ranges * 14;
+  }
+
   static Shard readShard(JsonNode node) {
     Shard.Editor editor = Shard.EMPTY.edit();
     JsonNode done = node.path("done");
--- a/src/main/java/io/cherryspool/store/Replica.java
+++ b/src/main/java/io/cherryspool/store/Replica.java
@@ -4,6 +4,7 @@
 import io.cherryspool.duty.Duty;
 import io.cherryspool.duty.EventLoop;
 import io.cherryspool.model.MachineType;
+import io.cherryspool.model.Shard;
 import io.cherryspool.wire.CloudWire;
 import io.cherryspool.wire.Json;
 import io.cherryspool.wire.StateWire;
@@ -40,6 +41,7 @@
   private final Duration refreshGap;
   private final Duration slow;
   private final List<Runnable> listeners = new ArrayList<>();
+  private final List<Watcher> watchers = new ArrayList<>();
 
   private final Map<String, JobEntry> jobs = new HashMap<>();
   private final Map<String, JobEntry> active = new HashMap<>();
@@ -70,6 +72,29 @@
     this.lastReading = loop.now().minus(refreshGap);
   }
 
+  /**
+   * Told of each change of the jobs' records as it is applied, so that an index of them costs what
+   * changed and not what there is.
+   */
+  public interface Watcher {
+    /** A progress record changed; a record that is gone is an empty shard. */
+    void progressed(JobEntry entry, Shard before, Shard after);
+
+    /** A job was accepted or has ended. */
+    void changed(JobEntry entry);
+
+    /** All was read anew; every entry is another object. */
+    void reloaded();
+  }
+
+  public void watch(Watcher watcher) {
+    watchers.add(watcher);
+  }
+
+  public void unwatch(Watcher watcher) {
+    watchers.remove(watcher);
+  }
+
   /** Called after each batch of changes. */
   public void onChange(Runnable listener) {
     listeners.add(listener);
@@ -344,6 +369,7 @@
           }
         });
     later.forEach(key -> set(found.get(key)));
+    List.copyOf(watchers).forEach(Watcher::reloaded);
   }
 
   private void set(StateWire.Event event) {
@@ -358,6 +384,7 @@
       if (entry != null && value != null) {
         entry.setOutcome(Records.readOutcome(value));
         settle(entry);
+        watchers.forEach(watcher -> watcher.changed(entry));
       }
     } else if (key.equals(Records.TERM)) {
       term = value == null ? 0 : Records.readTerm(value);
@@ -377,6 +404,7 @@
       JobEntry entry = new JobEntry(Records.readJob(value), Records.readTasksPerShard(value));
       jobs.put(id, entry);
       active.put(id, entry);
+      watchers.forEach(watcher -> watcher.changed(entry));
     } catch (WireException e) {
       LOG.error("the record of job {} is unreadable: {}", id, e.getMessage());
     }
@@ -387,9 +415,12 @@
     JobEntry entry = slash < 0 ? null : jobs.get(rest.substring(0, slash));
     if (entry != null) {
       int index = Integer.parseInt(rest.substring(slash + 1));
-      entry.setShard(
-          index, value == null ? null : new JobEntry.Versioned(Records.readShard(value), version));
+      JobEntry.Versioned record =
+          value == null ? null : new JobEntry.Versioned(Records.readShard(value), version);
+      Shard before = entry.setShard(index, record);
       settle(entry);
+      Shard after = record == null ? Shard.EMPTY : record.shard();
+      watchers.forEach(watcher -> watcher.progressed(entry, before, after));
     }
   }
 
--- a/src/main/java/io/cherryspool/store/StateClient.java
+++ b/src/main/java/io/cherryspool/store/StateClient.java
@@ -97,7 +97,8 @@
     }
     throw new StateException(
         switch (status) {
-          case 429, 503 -> StateException.Kind.REFUSED;
+          case 429 -> StateException.Kind.BUSY;
+          case 503 -> StateException.Kind.REFUSED;
           case 404, 410 -> StateException.Kind.GONE;
           case 400 -> StateException.Kind.REJECTED;
           default -> StateException.Kind.UNKNOWN;
--- a/src/main/java/io/cherryspool/store/StateException.java
+++ b/src/main/java/io/cherryspool/store/StateException.java
@@ -10,6 +10,8 @@
   public enum Kind {
     /** It was not carried out, and may be tried again. */
     REFUSED,
+    /** It was not carried out, since the nodes together are at the service's limits. */
+    BUSY,
     /** It may have been carried out, or may yet be. */
     UNKNOWN,
     /** What it names is gone: a lease that ran out, a history too old. */
--- a/src/test/java/io/cherryspool/scheduler/PlacementTest.java
+++ b/src/test/java/io/cherryspool/scheduler/PlacementTest.java
@@ -47,7 +47,7 @@
     for (int i = 0; i < job.tasks(); i++) {
       tasks.add(new FreeTask(i, 0, 0, null));
     }
-    return new JobView(job, tasks, Map.of(), 0);
+    return new JobView(job, tasks, Map.of(), 0, false);
   }
 
   private static MachineView machine(String name, MachineType type, List<RunningTask> running) {
@@ -62,10 +62,13 @@
     return Placement.plan(
         new ClusterView(
             Instant.EPOCH,
+            Duration.ofSeconds(100),
+            Duration.ofSeconds(120),
             jobs,
             machines,
             Map.of("red", team),
             Map.of(),
+            Set.of(),
             List.of(SMALL, LARGE),
             Map.of()));
   }
@@ -94,7 +97,7 @@
     for (int i = 0; i < 3; i++) {
       running.add(
           new RunningTask(
-              new TaskId("req-000001", i), normal, Duration.ofSeconds(10 * (3 - i)), false));
+              new TaskId("req-000001", i), normal, Duration.ofSeconds(100 - 10 * (3 - i)), false));
     }
     running.add(new RunningTask(new TaskId("req-000003", 0), peer, Duration.ZERO, false));
     Team team = new Team("red", 0, 0, 0, 0);
@@ -117,16 +120,19 @@
     List<RunningTask> running = new ArrayList<>();
     for (int i = 0; i < 2; i++) {
       running.add(
-          new RunningTask(new TaskId("req-000001", i), normal, Duration.ofSeconds(5 + i), false));
+          new RunningTask(new TaskId("req-000001", i), normal, Duration.ofSeconds(95 - i), false));
     }
     RoundPlan plan =
         Placement.plan(
             new ClusterView(
                 Instant.EPOCH,
+                Duration.ofSeconds(100),
+                Duration.ofSeconds(120),
                 List.of(free(high)),
                 List.of(machine("m", LARGE, running)),
                 Map.of("red", new Team("red", 0, 10, 0, 0)),
                 Map.of("red", normal.perTask().times(2)),
+                Set.of(),
                 List.of(LARGE),
                 Map.of()));
     assertEquals(1, plan.assignments().size(), "what the limit still allows");
