Bound calls' sockets, know deaf machines, and put what can wait behind in the write budget

Cause: a leader kept a connection to each of 1,100 workers beside as many inbound ones, over the limit of sockets; a machine that reports and hears nothing got work lease after lease; a 429 to one node failed users' submissions that could wait a moment. A node cut from the state service and from all others is no longer ready.

--- a/src/main/java/io/cherryspool/cli/Rehearsal.java
+++ b/src/main/java/io/cherryspool/cli/Rehearsal.java
@@ -29,6 +29,7 @@
  */
 final class Rehearsal {
   private static final Duration LIMIT = Duration.ofSeconds(2);
+  private static final int SOCKETS = 16;
 
   private Rehearsal() {}
 
@@ -40,7 +41,7 @@
     server.bind(any);
     Endpoint self = new Endpoint("127.0.0.1", server.port());
     NettyMesh mesh = new NettyMesh(loop, List.of(self), word -> controller[0].heard(word));
-    NettyClient client = new NettyClient(loop);
+    NettyClient client = new NettyClient(loop, SOCKETS);
     controller[0] = Server.controller(settings(any, self), OperatorSettings.DEFAULTS, loop, mesh);
     loop.execute(controller[0]::start);
     loop.execute(() -> mesh.tell(new Mesh.Word("rehearsal", 1, true)));
--- a/src/main/java/io/cherryspool/cli/Server.java
+++ b/src/main/java/io/cherryspool/cli/Server.java
@@ -27,6 +27,9 @@
   /** Sockets kept for the calls to the state service, the cloud, the workers and the mesh. */
   private static final double OWN_SOCKETS = 0.25;
 
+  /** Of those, the part for calls; the mesh, files and connections just closing have the rest. */
+  private static final double OWN_CALLS = 0.8;
+
   private Server() {}
 
   /** Both settings, checked. */
@@ -84,7 +87,7 @@
         operators,
         new Controller.Surroundings(
             loop,
-            new NettyClient(loop),
+            new NettyClient(loop, (int) (platform.fdLimit() * OWN_SOCKETS * OWN_CALLS)),
             mesh,
             RandomGenerator.getDefault(),
             Instant::now,
--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -62,6 +62,7 @@
   private final CatalogKeeper catalog;
   private final UserApi users;
   private Reign reign;
+  private Duration lastWord;
   private EventLoop.Timer timer;
 
   /** What the node is given to work with. {@code metrics} writes the registry out. */
@@ -151,6 +152,7 @@
   /** Word from another node. */
   public void heard(Mesh.Word word) {
     election.hear(word.term());
+    lastWord = loop.now();
     if (word.state()) {
       peersWithState.put(word.node(), loop.now());
     } else {
@@ -243,11 +245,13 @@
   }
 
   /**
-   * Ready while the node can serve users: it holds the state and reaches the state service, or no
-   * other node is known to reach it either, since then being passed over helps nobody.
+   * Ready while the node can serve users: it holds the state and reaches the state service. While
+   * the service is silent for everybody, being passed over helps nobody, so that a node that hears
+   * others say the same stays ready; one that hears nobody is rather cut off itself.
    */
   private Reply ready() {
-    boolean ready = replica.loaded() && (reachesState() || !othersReachState());
+    boolean outage = !othersReachState() && (hearsOthers() || settings.peers().isEmpty());
+    boolean ready = replica.loaded() && (reachesState() || outage);
     return Reply.json(ready ? 200 : 503, JobWire.error(ready ? "none" : "not ready"));
   }
 
@@ -256,6 +260,10 @@
     return peersWithState.values().stream().anyMatch(at -> at.compareTo(limit) > 0);
   }
 
+  private boolean hearsOthers() {
+    return lastWord != null && loop.now().minus(lastWord).compareTo(timings.stateLease()) < 0;
+  }
+
   private Reply metrics() {
     byte[] text = metrics.get().getBytes(StandardCharsets.UTF_8);
     return new Reply(200, text, 0, "text/plain; version=0.0.4; charset=utf-8");
--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Rental.java
@@ -175,7 +175,8 @@
         doom(item.name(), "it has been booting for " + item.age().toSeconds() + " s");
       }
     }
-    Set<String> deafZones = silentZones(now);
+    Duration usual = timings.report().multipliedBy(3).plusSeconds(2);
+    Set<String> cutZones = cutZones(now, usual);
     for (MachineState machine : fleet.all()) {
       if (machine.gone) {
         continue;
@@ -186,38 +187,49 @@
       } else if (machine.idleSince == null) {
         machine.idleSince = now;
       }
-      Duration silent = now.minus(machine.heard == null ? machine.firstSeen : machine.heard);
-      Duration patience = timings.report().multipliedBy(3).plusSeconds(2);
-      if (deafZones.contains(machine.zone)) {
-        patience = timings.lapse().multipliedBy(2);
-      }
-      if (silent.compareTo(patience) > 0 && now.minus(machine.firstSeen).compareTo(patience) > 0) {
+      boolean cut = list.containsKey(machine.name) && cutZones.contains(machine.zone);
+      Duration patience = cut ? timings.lapse().multipliedBy(2) : usual;
+      Duration silent = silent(machine, now);
+      if (silent.compareTo(patience) > 0) {
         doom(machine.name, "it has been silent for " + silent.toSeconds() + " s");
+      } else if (deaf(machine, now, cut ? patience : idle ? usual : timings.lapse())) {
+        doom(machine.name, "it reports and does not take in what it is told");
       } else if (machine.failuresInARow >= SICK) {
         doom(machine.name, "tasks of several tries fail on it");
       }
     }
   }
 
+  private static Duration silent(MachineState machine, Duration now) {
+    return now.minus(machine.heard == null ? machine.firstSeen : machine.heard);
+  }
+
+  private static boolean deaf(MachineState machine, Duration now, Duration patience) {
+    return machine.deafSince != null
+        && machine.unheeded > 1
+        && now.minus(machine.deafSince).compareTo(patience) > 0;
+  }
+
   /**
-   * Zones of which nothing at all is heard are rather cut off than dead; their machines may be
-   * running their tasks well.
+   * Zones in which many machines that the cloud still lists fell silent or deaf at once are rather
+   * cut off than dead, and so is this node where its reports come late: the machines may be running
+   * their tasks well. Those that the cloud no longer lists were taken back.
    */
-  private Set<String> silentZones(Duration now) {
-    Map<String, Integer> heard = new HashMap<>();
+  private Set<String> cutZones(Duration now, Duration patience) {
+    Map<String, Integer> bad = new HashMap<>();
     Map<String, Integer> all = new HashMap<>();
-    Duration limit = timings.report().multipliedBy(2).plusSeconds(1);
     for (MachineState machine : fleet.all()) {
-      if (!machine.gone) {
+      if (!machine.gone && list.containsKey(machine.name)) {
         all.merge(machine.zone, 1, Integer::sum);
-        boolean fresh = machine.heard != null && now.minus(machine.heard).compareTo(limit) < 0;
-        heard.merge(machine.zone, fresh ? 1 : 0, Integer::sum);
+        boolean lost = silent(machine, now).compareTo(patience) > 0 || machine.unheeded > 1;
+        bad.merge(machine.zone, lost ? 1 : 0, Integer::sum);
       }
     }
     Set<String> result = new LinkedHashSet<>();
     all.forEach(
         (zone, count) -> {
-          if (count > 1 && heard.get(zone) * 3 < count) {
+          int lost = bad.get(zone);
+          if (lost > 1 && lost * 3 > count || lost > 2 && lost * 6 > count) {
             result.add(zone);
           }
         });
--- a/src/main/java/io/cherryspool/controller/RoundEdits.java
+++ b/src/main/java/io/cherryspool/controller/RoundEdits.java
@@ -2,6 +2,7 @@
 
 import io.cherryspool.model.Outcome;
 import io.cherryspool.model.Shard;
+import io.cherryspool.store.Budget;
 import io.cherryspool.store.JobEntry;
 import io.cherryspool.store.Records;
 import io.cherryspool.wire.StateWire;
@@ -34,6 +35,7 @@
     private final JobEntry entry;
     private final Map<Integer, Shard.Editor> shards = new TreeMap<>();
     private final Set<Integer> assigned = new HashSet<>();
+    private boolean late;
 
     Edit(JobEntry entry) {
       this.entry = entry;
@@ -76,9 +78,10 @@
   /**
    * The changes to commit, the pressing ones first.
    *
-   * @param lazyBefore proofs learnt until then are written even if nothing else needs their shard
+   * @param due proofs learnt until then are written even if nothing else needs their shard
+   * @param overdue those learnt until then press as much as anything
    */
-  List<RoundWriter.Unit> units(Collection<JobEntry> active, Duration lazyBefore) {
+  List<RoundWriter.Unit> units(Collection<JobEntry> active, Duration due, Duration overdue) {
     List<RoundWriter.Unit> ends = new ArrayList<>();
     List<RoundWriter.Unit> starts = new ArrayList<>();
     List<RoundWriter.Unit> rest = new ArrayList<>();
@@ -87,12 +90,15 @@
       Collection<Proofs.Proof> known = proofs.ofJob(id).values();
       JobEntry entry = known.iterator().next().owned().entry();
       boolean whole = entry.doneCount() + Proofs.done(known) == entry.job().tasks();
-      boolean due = entry.outcome() == null && whole;
+      boolean write = entry.outcome() == null && whole;
+      boolean late = false;
       for (Proofs.Proof proof : known) {
-        due |= proof.at().compareTo(lazyBefore) <= 0;
+        write |= proof.at().compareTo(due) <= 0;
+        late |= proof.at().compareTo(overdue) <= 0;
       }
-      if (due) {
+      if (write) {
         Edit edit = edits.computeIfAbsent(id, key -> new Edit(entry));
+        edit.late = late;
         known.forEach(proof -> edit.shard(entry.shardOf(proof.owned().id().number())));
       }
       if (entry.outcome() == null && whole) {
@@ -136,7 +142,8 @@
                   List.of(
                       new StateWire.Change(
                           Records.progress(id, index), over ? null : Records.shard(shard), 0)),
-                  Records.sizeOf(shard));
+                  Records.sizeOf(shard),
+                  assigns || ending || edit.late ? Budget.Use.ROUND : Budget.Use.LATER);
           (assigns ? starts : ending ? ends : rest).add(unit);
         });
   }
@@ -165,7 +172,7 @@
       }
     }
     LOG.info("job {} is done", id);
-    return new RoundWriter.Unit(conditions, changes, bytes);
+    return new RoundWriter.Unit(conditions, changes, bytes, Budget.Use.ROUND);
   }
 
   /** Ends jobs whose last shards were committed apart, and removes records of ended jobs. */
@@ -188,7 +195,8 @@
               new RoundWriter.Unit(
                   Map.of(Records.progress(id, index), item.version()),
                   List.of(new StateWire.Change(Records.progress(id, index), null, 0)),
-                  0));
+                  0,
+                  Budget.Use.LATER));
         }
       }
     }
--- a/src/main/java/io/cherryspool/controller/RoundWriter.java
+++ b/src/main/java/io/cherryspool/controller/RoundWriter.java
@@ -32,8 +32,12 @@
   private final long termVersion;
   private boolean stopped;
 
-  /** Changes that are committed together or not at all; {@code bytes} is what their values take. */
-  record Unit(Map<String, Long> conditions, List<StateWire.Change> changes, int bytes) {}
+  /**
+   * Changes that are committed together or not at all; {@code bytes} is what their values take. One
+   * that may wait still goes along in a transaction that a pressing one has begun.
+   */
+  record Unit(
+      Map<String, Long> conditions, List<StateWire.Change> changes, int bytes, Budget.Use use) {}
 
   RoundWriter(EventLoop loop, StateClient client, Budget budget, int maxChanges, long termVersion) {
     this.loop = loop;
@@ -62,7 +66,7 @@
       int size = unit.bytes + CHANGE_OVERHEAD * unit.changes.size();
       boolean full = changes + unit.changes.size() > limit || bytes + size > MAX_BYTES;
       if (full && !batch.isEmpty()) {
-        if (!budget.takeWrites(Budget.Use.ROUND, changes)) {
+        if (!budget.takeWrites(batch.get(0).use, changes)) {
           batch = List.of();
           break;
         }
@@ -76,7 +80,7 @@
       changes += unit.changes.size();
       bytes += size;
     }
-    if (!batch.isEmpty() && budget.takeWrites(Budget.Use.ROUND, changes)) {
+    if (!batch.isEmpty() && budget.takeWrites(batch.get(0).use, changes)) {
       transactions.add(batch);
       taken += batch.size();
     }
@@ -120,11 +124,11 @@
                     });
                 return;
               }
-              if (kind == StateException.Kind.REFUSED || kind == StateException.Kind.BUSY) {
+              if (kind == StateException.Kind.BUSY) {
                 budget.drain();
-              } else if (kind != null) {
+              } else if (kind != null && kind != StateException.Kind.REFUSED) {
                 LOG.error("the state service rejects a round: {}", failure.toString());
-              } else if (!result.applied()) {
+              } else if (kind == null && !result.applied()) {
                 LOG.debug("a round's transaction was overtaken: {}", result.failed());
               }
               certain.run();
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -195,7 +195,8 @@
     if (placing && catalog.get() != null) {
       place(edits);
     }
-    List<RoundWriter.Unit> units = edits.units(replica.active(), lastRun.minus(LAZY));
+    List<RoundWriter.Unit> units =
+        edits.units(replica.active(), lastRun.minus(LAZY), lastRun.minus(LAZY.multipliedBy(4)));
     lastCost = loop.now().minus(lastRun);
     if (units.isEmpty()) {
       return;
--- a/src/main/java/io/cherryspool/http/NettyClient.java
+++ b/src/main/java/io/cherryspool/http/NettyClient.java
@@ -24,22 +24,31 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
-/** HTTP client on the node's loop: kept connections per address, a deadline on every call. */
+/**
+ * HTTP client on the node's loop: kept connections per address, a deadline on every call. Sockets
+ * are bounded, since a leader calls a thousand workers: an idle connection makes way for a new one,
+ * the longest unused first, and a call beyond the bound fails at once.
+ */
 public final class NettyClient implements Transport {
   private static final int MAX_REPLY = 64 << 20;
   private static final int MAX_IDLE = 4;
   private static final Duration CONNECT = Duration.ofSeconds(2);
 
   private final NettyLoop loop;
+  private final int maxSockets;
   private final Map<Endpoint, Deque<Exchange>> idle = new HashMap<>();
+  private final LinkedHashSet<Exchange> unused = new LinkedHashSet<>();
+  private int open;
 
-  public NettyClient(NettyLoop loop) {
+  public NettyClient(NettyLoop loop, int maxSockets) {
     this.loop = loop;
+    this.maxSockets = maxSockets;
   }
 
   @Override
@@ -48,9 +57,18 @@
     Exchange exchange = null;
     while (kept != null && !kept.isEmpty() && exchange == null) {
       Exchange candidate = kept.pollLast();
+      unused.remove(candidate);
       exchange = candidate.channel.isActive() ? candidate : null;
     }
     if (exchange == null) {
+      if (open >= maxSockets && !unused.isEmpty()) {
+        Exchange oldest = unused.iterator().next();
+        unused.remove(oldest);
+        oldest.channel.close();
+      }
+      if (open >= maxSockets) {
+        return CompletableFuture.failedFuture(new IOException("no socket is free for " + to));
+      }
       exchange = new Exchange(to);
       exchange.connect(deadline);
     }
@@ -90,6 +108,8 @@
                   })
               .connect(new InetSocketAddress(to.host(), to.port()));
       channel = connecting.channel();
+      open++;
+      channel.closeFuture().addListener(closed -> open--);
     }
 
     CompletableFuture<Reply> begin(Request request, Duration deadline) {
@@ -148,6 +168,7 @@
       Deque<Exchange> kept = idle.computeIfAbsent(to, key -> new ArrayDeque<>());
       if (HttpUtil.isKeepAlive(response) && kept.size() < MAX_IDLE) {
         kept.addLast(this);
+        unused.add(this);
       } else {
         ctx.close();
       }
@@ -174,6 +195,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+      unused.remove(this);
       Deque<Exchange> kept = idle.get(to);
       if (kept != null) {
         kept.remove(this);
--- a/src/main/java/io/cherryspool/store/Budget.java
+++ b/src/main/java/io/cherryspool/store/Budget.java
@@ -6,18 +6,23 @@
 /**
  * This node's part of what the state service bears. The limits are for all nodes together and
  * nobody divides them, so each node keeps to a share; the leader's share of writes is the larger
- * one. Leases and elections are never held back, cancels before submissions, submissions before
- * rounds.
+ * one. The others share theirs in time as well: users' changes come in bursts and rarely to all
+ * nodes at once, so that each may take all of it for a moment. Leases and elections are never held
+ * back, cancels before submissions, submissions before rounds, and what can wait after those.
  */
 public final class Budget {
   private static final double MARGIN = 0.9;
   private static final double LEADER_WRITES = 0.6;
 
+  /** How far the other nodes' rates may exceed their common share together. */
+  private static final double OVERLAP = 2;
+
   /** Uses, by how much of a second's writes they leave to the more pressing ones. */
   public enum Use {
     CANCEL(0),
     SUBMIT(0.1),
-    ROUND(0.25);
+    ROUND(0.25),
+    LATER(0.6);
 
     private final double leaves;
 
@@ -31,6 +36,7 @@
   private final double allWrites;
   private final double requestRate;
   private double writeRate;
+  private double writeDepth;
   private double requests;
   private double writes;
   private Duration filled;
@@ -43,26 +49,28 @@
     this.filled = loop.now();
     setLeader(false);
     requests = requestRate;
-    writes = writeRate;
+    writes = writeDepth;
   }
 
   public void setLeader(boolean leader) {
-    if (nodes == 1) {
-      writeRate = allWrites;
+    if (nodes == 1 || leader) {
+      writeRate = allWrites * (nodes == 1 ? 1 : LEADER_WRITES);
+      writeDepth = writeRate;
     } else {
-      writeRate = allWrites * (leader ? LEADER_WRITES : (1 - LEADER_WRITES) / (nodes - 1));
+      writeDepth = allWrites * (1 - LEADER_WRITES);
+      writeRate = Math.min(writeDepth, writeDepth * OVERLAP / (nodes - 1));
     }
   }
 
   /** The most changes one transaction of this use may hold if it is ever to be allowed. */
   public int largest(Use use) {
-    return Math.max(1, (int) (writeRate * (1 - use.leaves)));
+    return Math.max(1, (int) (writeDepth * (1 - use.leaves)));
   }
 
   /** Takes one request with so many changes, if this use may have it now. */
   public boolean takeWrites(Use use, int count) {
     refill();
-    if (requests < 1 || writes - count < use.leaves * writeRate - 1e-9) {
+    if (requests < 1 || writes - count < use.leaves * writeDepth - 1e-9) {
       return count == 1 && takeLast(use);
     }
     requests--;
@@ -72,7 +80,7 @@
 
   /** With a share of few writes a second, one change must pass once the bucket is full. */
   private boolean takeLast(Use use) {
-    if (requests < 1 || writes < Math.max(1, use.leaves * writeRate)) {
+    if (requests < 1 || writes < Math.max(1, use.leaves * writeDepth)) {
       return false;
     }
     requests--;
@@ -109,6 +117,6 @@
     double seconds = now.minus(filled).toNanos() / 1e9;
     filled = now;
     requests = Math.min(requestRate, requests + seconds * requestRate);
-    writes = Math.min(Math.max(1, writeRate), writes + seconds * writeRate);
+    writes = Math.min(Math.max(1, writeDepth), writes + seconds * writeRate);
   }
 }
--- a/src/main/java/io/cherryspool/store/GroupCommit.java
+++ b/src/main/java/io/cherryspool/store/GroupCommit.java
@@ -127,10 +127,13 @@
         .whenComplete(
             (outcome, failure) -> {
               busy = false;
-              if (failure != null) {
-                if (StateException.kindOf(failure) == StateException.Kind.REFUSED) {
-                  budget.drain();
+              if (failure != null && StateException.kindOf(failure) == StateException.Kind.BUSY) {
+                // The nodes' shares overlap, so that now and then they meet the limit together.
+                budget.drain();
+                for (int i = batch.size() - 1; i >= 0; i--) {
+                  queue.addFirst(batch.get(i));
                 }
+              } else if (failure != null) {
                 batch.forEach(item -> item.result.completeExceptionally(failure));
               } else if (outcome.applied()) {
                 batch.forEach(item -> item.result.complete(true));
--- a/src/main/java/io/cherryspool/store/Replica.java
+++ b/src/main/java/io/cherryspool/store/Replica.java
@@ -234,7 +234,7 @@
     if (kind == StateException.Kind.GONE) {
       LOG.info("the history after revision {} is gone, reading all keys again", revision);
       load();
-    } else if (kind == StateException.Kind.REFUSED) {
+    } else if (kind == StateException.Kind.BUSY) {
       budget.drain();
     }
   }
--- a/src/test/java/io/cherryspool/http/LoopbackTest.java
+++ b/src/test/java/io/cherryspool/http/LoopbackTest.java
@@ -46,7 +46,7 @@
   }
 
   private Reply send(Request request, Duration deadline) throws Exception {
-    NettyClient client = new NettyClient(loop);
+    NettyClient client = new NettyClient(loop, 8);
     CompletableFuture<Reply> result = new CompletableFuture<>();
     loop.execute(
         () ->
