--- a/src/main/java/io/cherryspool/controller/Fleet.java
+++ b/src/main/java/io/cherryspool/controller/Fleet.java
@@ -91,14 +91,15 @@
       machine.runningSince.clear();
       return;
     }
-    Set<TaskId> running = new HashSet<>();
+    // Kept for an exited task too, so that its run time can be learnt when its end is taken in.
+    Set<TaskId> present = new HashSet<>();
     for (Report.TaskReport item : report.tasks()) {
       if (item.state() == Report.State.RUNNING || item.state() == Report.State.SAVING) {
-        running.add(item.task());
         machine.runningSince.putIfAbsent(item.task(), now);
       }
+      present.add(item.task());
     }
-    machine.runningSince.keySet().retainAll(running);
+    machine.runningSince.keySet().retainAll(present);
   }
 
   /** Remembers an image that the machine has or will fetch. */
--- a/src/main/java/io/cherryspool/controller/MachineState.java
+++ b/src/main/java/io/cherryspool/controller/MachineState.java
@@ -71,6 +71,9 @@
   Duration firstSeen;
   boolean deleting;
 
+  /** It is given no more work, since the fleet does without it. */
+  boolean closing;
+
   /** The cloud has confirmed that the machine and everything on it are gone. */
   boolean gone;
 
--- a/src/main/java/io/cherryspool/controller/Reign.java
+++ b/src/main/java/io/cherryspool/controller/Reign.java
@@ -54,6 +54,7 @@
   private final Stops stops = new Stops();
   private final Orders orders;
   private final Pusher pusher;
+  private final Workload workload;
   private final Rounds rounds;
   private final Rental rental;
   private final LongConsumer higherTerm;
@@ -92,6 +93,7 @@
     this.ownership = new Ownership(replica);
     this.orders = new Orders(stops, tokens, proofs);
     this.pusher = new Pusher(loop, workers, tokens, timings.workerCall(), this::pushed);
+    this.workload = new Workload(replica, proofs, cluster.wall());
     Judge judge = new Judge(timings, tokens, stops, started);
     this.rounds =
         new Rounds(
@@ -106,6 +108,7 @@
             cluster.catalog(),
             limits,
             cluster.wall(),
+            workload,
             this::pushAll);
     this.rental =
         new Rental(
@@ -114,6 +117,7 @@
             fleet,
             ownership,
             rounds,
+            workload,
             cluster.catalog(),
             timings,
             rentalLimits.cloudRps(),
@@ -136,6 +140,7 @@
     @Override
     public void jobTouched(JobEntry entry) {
       rounds.jobTouched(entry);
+      workload.accepted(entry);
     }
 
     @Override
@@ -151,6 +156,7 @@
     @Override
     public void reloaded() {
       ordered.addAll(ownership.machines());
+      workload.reloaded();
       rounds.reloaded();
     }
   }
--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Rental.java
@@ -34,6 +34,7 @@
   private final Fleet fleet;
   private final Ownership ownership;
   private final Rounds rounds;
+  private final Workload workload;
   private final Supplier<List<MachineType>> catalog;
   private final Timings timings;
   private final Duration gap;
@@ -65,6 +66,7 @@
       Fleet fleet,
       Ownership ownership,
       Rounds rounds,
+      Workload workload,
       Supplier<List<MachineType>> catalog,
       Timings timings,
       double cloudRps,
@@ -78,6 +80,7 @@
     this.fleet = fleet;
     this.ownership = ownership;
     this.rounds = rounds;
+    this.workload = workload;
     this.catalog = catalog;
     this.timings = timings;
     this.gap = Duration.ofNanos((long) (1.5e9 / cloudRps));
@@ -287,18 +290,27 @@
     }
     soldOut.values().removeIf(at -> now.minus(at).compareTo(SOLD_OUT) > 0);
     fleet.prune(ownership);
-    FleetPlan.View view =
-        new FleetPlan.View(
-            rounds.unplaced(), coming(), idle(now), catalog.get(), soldOut.keySet(), idleKeep);
-    Map<FleetPlan.Offer, Integer> rentals = FleetPlan.rentals(view);
-    if (!rentals.isEmpty()) {
-      Map.Entry<FleetPlan.Offer, Integer> first = rentals.entrySet().iterator().next();
+    FleetPlan.Plan plan =
+        FleetPlan.of(
+            new FleetPlan.View(
+                rounds.unplaced(),
+                coming(),
+                up(now),
+                workload.loads(),
+                catalog.get(),
+                soldOut.keySet(),
+                idleKeep));
+    for (MachineState machine : fleet.all()) {
+      machine.closing = plan.closing().contains(machine.name);
+    }
+    if (!plan.rentals().isEmpty()) {
+      Map.Entry<FleetPlan.Offer, Integer> first = plan.rentals().entrySet().iterator().next();
       counter++;
       rent(
           new Request(
               prefix + counter, first.getKey(), Math.min(first.getValue(), MOST_PER_REQUEST)));
     } else {
-      FleetPlan.returns(view).forEach(name -> doom(name, "it has been idle"));
+      plan.returns().forEach(name -> doom(name, "it has been idle"));
     }
   }
 
@@ -330,12 +342,25 @@
     return result;
   }
 
-  private List<FleetPlan.Idle> idle(Duration now) {
-    List<FleetPlan.Idle> result = new ArrayList<>();
+  private List<FleetPlan.Up> up(Duration now) {
+    Map<String, MachineType> types = new HashMap<>();
+    catalog.get().forEach(type -> types.put(type.name(), type));
+    List<FleetPlan.Up> result = new ArrayList<>();
     for (MachineState machine : fleet.all()) {
-      if (!machine.gone && !machine.deleting && machine.idleSince != null) {
-        result.add(new FleetPlan.Idle(machine.name, machine.spot, now.minus(machine.idleSince)));
+      MachineType type = types.get(machine.type);
+      if (type == null || machine.gone || machine.deleting || machine.latest == null) {
+        continue;
+      }
+      double used = 0;
+      for (Ownership.Owned owned : ownership.on(machine.name)) {
+        used += owned.entry().job().perTask().cpus();
       }
+      result.add(
+          new FleetPlan.Up(
+              machine.name,
+              new FleetPlan.Offer(type, machine.zone, machine.spot),
+              used,
+              machine.idleSince == null ? null : now.minus(machine.idleSince)));
     }
     return result;
   }
--- a/src/main/java/io/cherryspool/controller/RoundView.java
+++ b/src/main/java/io/cherryspool/controller/RoundView.java
@@ -170,6 +170,7 @@
     return machine.latest != null
         && !machine.gone
         && !machine.deleting
+        && !machine.closing
         && machine.unheeded == 0
         && machine.latest.notice() == null
         && machine.failuresInARow < Rental.SICK
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -50,6 +50,7 @@
   private final Supplier<List<MachineType>> catalog;
   private final Limits limits;
   private final Supplier<Instant> wall;
+  private final Workload workload;
   private final Runnable committed;
   private final Set<String> dirty = new LinkedHashSet<>();
   private final Map<String, Set<String>> failedOn = new HashMap<>();
@@ -74,6 +75,7 @@
       Supplier<List<MachineType>> catalog,
       Limits limits,
       Supplier<Instant> wall,
+      Workload workload,
       Runnable committed) {
     this.loop = loop;
     this.replica = replica;
@@ -86,6 +88,7 @@
     this.catalog = catalog;
     this.limits = limits;
     this.wall = wall;
+    this.workload = workload;
     this.committed = committed;
     this.view =
         new RoundView(replica, fleet, ledger, tokens, limits.silence(), limits.failureCap());
@@ -274,6 +277,10 @@
     if (done) {
       if (machine != null) {
         machine.failuresInARow = 0;
+        Duration since = machine.runningSince.get(owned.id());
+        if (since != null) {
+          workload.ran(entry.job(), now.minus(since));
+        }
       }
       return;
     }
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/Workload.java
@@ -0,0 +1,109 @@
+package io.cherryspool.controller;
+
+import io.cherryspool.model.Job;
+import io.cherryspool.scheduler.FleetPlan;
+import io.cherryspool.store.JobEntry;
+import io.cherryspool.store.Replica;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/**
+ * How much work there is: what has arrived in the last minutes, by the jobs' own times of
+ * submission, so that a new leader knows it at once, and what waits. Run times are the owners'
+ * estimates, corrected by how those of the class have turned out.
+ */
+final class Workload {
+  private static final Duration WINDOW = Duration.ofSeconds(120);
+
+  /** Tasks of a class after which its pace is trusted, and how much an older one still counts. */
+  private static final int ENOUGH = 20;
+
+  private static final double FADE = 0.995;
+  private static final double MOST = 3;
+
+  private final Replica replica;
+  private final Proofs proofs;
+  private final Supplier<Instant> wall;
+  private final Map<String, JobEntry> recent = new LinkedHashMap<>();
+  private final Map<String, Runs> runs = new HashMap<>();
+
+  /** Run times of a class against their estimates. */
+  private static final class Runs {
+    private double actual;
+    private double expected;
+    private int count;
+  }
+
+  Workload(Replica replica, Proofs proofs, Supplier<Instant> wall) {
+    this.replica = replica;
+    this.proofs = proofs;
+    this.wall = wall;
+  }
+
+  void reloaded() {
+    recent.clear();
+    replica.jobs().forEach(this::accepted);
+  }
+
+  void accepted(JobEntry entry) {
+    if (age(entry.job()).compareTo(WINDOW) < 0) {
+      recent.put(entry.job().id(), entry);
+    }
+  }
+
+  /** A task ran for so long until it was done. */
+  void ran(Job job, Duration time) {
+    Runs known = runs.computeIfAbsent(job.jobClass(), key -> new Runs());
+    known.actual = known.actual * FADE + seconds(time);
+    known.expected = known.expected * FADE + seconds(job.estimate());
+    known.count++;
+  }
+
+  /** How long the tasks of a class run for a second of their estimate. */
+  double pace(String jobClass) {
+    Runs known = runs.get(jobClass);
+    if (known == null || known.count < ENOUGH || known.expected <= 0) {
+      return 1;
+    }
+    return Math.max(1 / MOST, Math.min(MOST, known.actual / known.expected));
+  }
+
+  List<FleetPlan.Load> loads() {
+    recent.values().removeIf(entry -> age(entry.job()).compareTo(WINDOW) >= 0);
+    List<FleetPlan.Load> result = new ArrayList<>();
+    for (JobEntry entry : recent.values()) {
+      double work = work(entry.job(), entry.job().tasks());
+      result.add(new FleetPlan.Load(entry.job(), work / seconds(WINDOW), 0));
+    }
+    for (JobEntry entry : replica.active()) {
+      if (entry.outcome() == null) {
+        int known = proofs.ofJob(entry.job().id()).size();
+        int running = entry.ownedCount() - known;
+        int done = entry.doneCount() + Proofs.done(proofs.ofJob(entry.job().id()).values());
+        int waiting = entry.job().tasks() - done - running;
+        if (waiting > 0) {
+          result.add(new FleetPlan.Load(entry.job(), 0, work(entry.job(), waiting)));
+        }
+      }
+    }
+    return result;
+  }
+
+  private double work(Job job, int tasks) {
+    return tasks * job.perTask().cpus() * seconds(job.estimate()) * pace(job.jobClass());
+  }
+
+  private Duration age(Job job) {
+    return Duration.between(job.submitted(), wall.get());
+  }
+
+  private static double seconds(Duration time) {
+    return time.toNanos() / 1e9;
+  }
+}
--- a/src/main/java/io/cherryspool/store/Replica.java
+++ b/src/main/java/io/cherryspool/store/Replica.java
@@ -128,6 +128,11 @@
     return Collections.unmodifiableCollection(active.values());
   }
 
+  /** All jobs ever accepted. */
+  public Collection<JobEntry> jobs() {
+    return Collections.unmodifiableCollection(jobs.values());
+  }
+
   /** How many jobs were ever accepted. */
   public int jobCount() {
     return jobs.size();
