--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Rental.java
@@ -293,6 +293,7 @@
     FleetPlan.Plan plan =
         FleetPlan.of(
             new FleetPlan.View(
+                workload.time(),
                 rounds.unplaced(),
                 coming(),
                 up(now),
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -8,6 +8,7 @@
 import io.cherryspool.scheduler.ClusterView;
 import io.cherryspool.scheduler.Placement;
 import io.cherryspool.scheduler.RoundPlan;
+import io.cherryspool.store.Budget;
 import io.cherryspool.store.JobEntry;
 import io.cherryspool.store.Replica;
 import java.time.Duration;
@@ -36,7 +37,10 @@
   private static final int COST_SHARE = 4;
 
   /** How long a proof that nothing waits for may wait for other changes of its shard. */
-  private static final Duration LAZY = Duration.ofMillis(2500);
+  private static final Duration LAZY = Duration.ofSeconds(4);
+
+  /** And how long at most, however many writes there are; after so long users see the count old. */
+  private static final Duration OVERDUE = Duration.ofSeconds(25);
 
   private final EventLoop loop;
   private final Replica replica;
@@ -189,6 +193,7 @@
   private void run() {
     timer = null;
     if (underWay) {
+      wanted = true;
       return;
     }
     wanted = false;
@@ -199,7 +204,7 @@
       place(edits);
     }
     List<RoundWriter.Unit> units =
-        edits.units(replica.active(), lastRun.minus(LAZY), lastRun.minus(LAZY.multipliedBy(4)));
+        edits.units(replica.active(), lastRun.minus(LAZY), lastRun.minus(OVERDUE));
     lastCost = loop.now().minus(lastRun);
     if (units.isEmpty()) {
       return;
@@ -213,7 +218,9 @@
     if (sent < units.size()) {
       LOG.debug(
           "the write budget leaves {} of {} changes for later", units.size() - sent, units.size());
-      timer = loop.schedule(SPENT, this::run);
+      if (units.get(sent).use() == Budget.Use.ROUND) {
+        timer = loop.schedule(SPENT, this::run);
+      }
     }
   }
 
--- a/src/main/java/io/cherryspool/controller/Workload.java
+++ b/src/main/java/io/cherryspool/controller/Workload.java
@@ -74,6 +74,10 @@
     return Math.max(1 / MOST, Math.min(MOST, known.actual / known.expected));
   }
 
+  Instant time() {
+    return wall.get();
+  }
+
   List<FleetPlan.Load> loads() {
     recent.values().removeIf(entry -> age(entry.job()).compareTo(WINDOW) >= 0);
     List<FleetPlan.Load> result = new ArrayList<>();
--- a/src/main/java/io/cherryspool/scheduler/FleetPlan.java
+++ b/src/main/java/io/cherryspool/scheduler/FleetPlan.java
@@ -4,6 +4,7 @@
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Resources;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -44,6 +45,7 @@
 
   /** What the fleet is planned from. {@code soldOut} holds the offers refused a short while ago. */
   public record View(
+      Instant now,
       List<RoundPlan.Unplaced> unplaced,
       List<Offer> incoming,
       List<Up> up,
@@ -56,12 +58,11 @@
   private final List<Bin> bins = new ArrayList<>();
   private final Map<Offer, Integer> crowds = new HashMap<>();
   private final Map<Offer, Integer> rentals = new LinkedHashMap<>();
-  private final Map<Long, Double> needs = new HashMap<>();
-  private final double[] capacity;
+  private final Map<Offer, Integer> counts = new LinkedHashMap<>();
+  private final Map<Places, Need> needs = new HashMap<>();
 
   private FleetPlan(View view) {
     this.view = view;
-    this.capacity = new double[view.catalog().size()];
     for (Offer offer : view.incoming()) {
       bins.add(new Bin(offer));
       crowds.merge(offer, 1, Integer::sum);
@@ -83,58 +84,81 @@
     return new Plan(plan.rentals, plan.returns(closing), closing);
   }
 
-  private void count(Offer offer, int sign) {
-    int index = view.catalog().indexOf(offer.type());
-    if (index >= 0) {
-      capacity[index] += sign * offer.type().size().cpus();
+  private void count(Offer offer, int machines) {
+    counts.merge(offer, machines, Integer::sum);
+  }
+
+  /** What a job can use: the types, one bit each, the zone or null for any, and spot machines. */
+  private record Places(long types, String zone, boolean spot) {
+    boolean within(Places other) {
+      return (types & ~other.types) == 0
+          && (other.zone == null || other.zone.equals(zone))
+          && (other.spot || !spot);
     }
   }
 
-  /** The types that a job can use, one bit each. */
-  private long types(Job job) {
+  private Places places(Job job) {
     long bits = 0;
     for (int i = 0; i < view.catalog().size(); i++) {
       if (job.allowsType(view.catalog().get(i))) {
         bits |= 1L << i;
       }
     }
-    return bits;
+    return new Places(bits, job.zone(), job.spotAllowed());
   }
 
-  /** The CPUs that the work which can use nothing but these types needs. */
-  private double need(long types) {
+  private boolean has(Places places, Offer offer) {
+    int index = view.catalog().indexOf(offer.type());
+    return index >= 0
+        && (places.types & 1L << index) != 0
+        && (places.zone == null || places.zone.equals(offer.zone()))
+        && (places.spot || !offer.spot());
+  }
+
+  /** The CPUs that the work which can use no other places than these needs. */
+  private Need need(Places places) {
     return needs.computeIfAbsent(
-        types,
+        places,
         key -> {
-          double sum = 0;
+          double arriving = 0;
+          double waiting = 0;
           for (Load load : view.loads()) {
-            long own = types(load.job);
-            if ((own & ~types) == 0) {
-              sum += load.arrivedPerSecond / FILL + load.waiting / horizon(own);
+            if (places(load.job).within(places)) {
+              arriving += load.arrivedPerSecond;
+              waiting += load.waiting;
             }
           }
-          return sum;
+          return new Need(arriving / FILL, waiting / horizon(places).toMillis() * 1000);
         });
   }
 
+  /** CPUs for what arrives, and for what waits. */
+  private record Need(double arriving, double waiting) {
+    double cpus(double dearness) {
+      return arriving + waiting / dearness;
+    }
+  }
+
   /** Waiting work should be over about when a machine rented now would begin to help. */
-  private double horizon(long types) {
-    double boot = 1;
+  private Duration horizon(Places places) {
+    Duration boot = Duration.ofSeconds(1);
     for (int i = 0; i < view.catalog().size(); i++) {
-      if ((types & 1L << i) != 0) {
-        boot = Math.max(boot, view.catalog().get(i).boot().toMillis() / 1e3);
+      Duration one = view.catalog().get(i).boot();
+      if ((places.types & 1L << i) != 0 && one.compareTo(boot) > 0) {
+        boot = one;
       }
     }
-    return boot;
+    return boot.plus(boot.dividedBy(2));
   }
 
-  /** How many CPUs of these types are missing, or with a minus are too many. */
-  private double missing(long types, double factor) {
-    double have = 0;
-    for (int i = 0; i < capacity.length; i++) {
-      have += (types & 1L << i) != 0 ? capacity[i] : 0;
+  private double capacity(Places places) {
+    double cpus = 0;
+    for (Map.Entry<Offer, Integer> entry : counts.entrySet()) {
+      if (has(places, entry.getKey())) {
+        cpus += entry.getValue() * entry.getKey().type().size().cpus();
+      }
     }
-    return need(types) * factor - have;
+    return cpus;
   }
 
   private static final class Bin {
@@ -162,19 +186,32 @@
         left -= bin.fill(job, left);
       }
     }
-    long types = types(job);
-    while (left > 0 && missing(types, 1) > 0) {
+    Places places = places(job);
+    // Whatever the sums say, work does not wait for machines for good.
+    boolean overdue =
+        Duration.between(job.submitted(), view.now()).compareTo(horizon(places).multipliedBy(2))
+            > 0;
+    double have = capacity(places);
+    while (left > 0) {
       Offer best = cheapest(job);
-      if (best == null) {
+      if (best == null || !overdue && need(places).cpus(dearness(best)) <= have) {
         return;
       }
       Bin bin = new Bin(best);
       left -= bin.fill(job, left);
       bins.add(bin);
       rent(best, 1);
+      have += best.type().size().cpus();
     }
   }
 
+  /**
+   * How much more the offer costs than the same machine as a spot one: work may wait longer then.
+   */
+  private static double dearness(Offer offer) {
+    return Math.max(1, offer.type().price(offer.spot()) / offer.type().price(true));
+  }
+
   private void rent(Offer offer, int count) {
     crowds.merge(offer, count, Integer::sum);
     rentals.merge(offer, count, Integer::sum);
@@ -231,7 +268,8 @@
       all += load.arrivedPerSecond;
       able += load.job.spotAllowed() ? load.arrivedPerSecond : 0;
     }
-    double wanted = all <= 0 ? 0 : need((1L << capacity.length) - 1) * MARGIN * able / all - spot;
+    Places anywhere = new Places((1L << view.catalog().size()) - 1, null, true);
+    double wanted = all <= 0 ? 0 : need(anywhere).cpus(1) * MARGIN * able / all - spot;
     int most = (int) Math.ceil(RENEWAL * view.up().size()) - view.incoming().size();
     for (Map.Entry<MachineType, Integer> entry : ordinary.entrySet()) {
       MachineType type = entry.getKey();
@@ -253,22 +291,22 @@
         Comparator.comparingDouble((Up machine) -> -machine.offer.perCpu())
             .thenComparingDouble(Up::usedCpus)
             .thenComparing(Up::name));
-    Set<Long> masks = new LinkedHashSet<>();
-    view.loads().forEach(load -> masks.add(types(load.job)));
+    Map<Places, Double> spare = new LinkedHashMap<>();
     Set<String> result = new LinkedHashSet<>();
-    // Incoming machines are not here yet.
-    view.incoming().forEach(offer -> count(offer, -1));
+    // Machines on their way are not here yet.
+    crowds.forEach((offer, count) -> count(offer, -count));
+    for (Load load : view.loads()) {
+      spare.computeIfAbsent(places(load.job), key -> capacity(key) - need(key).cpus(1) * MARGIN);
+    }
     for (Up machine : candidates) {
-      count(machine.offer, -1);
-      int index = view.catalog().indexOf(machine.offer.type());
+      double cpus = machine.offer.type().size().cpus();
       boolean needed = false;
-      for (long mask : masks) {
-        needed |= (mask & 1L << index) != 0 && missing(mask, MARGIN) > 0;
+      for (Map.Entry<Places, Double> entry : spare.entrySet()) {
+        needed |= entry.getValue() < cpus && has(entry.getKey(), machine.offer);
       }
-      if (needed) {
-        count(machine.offer, 1);
-      } else {
+      if (!needed) {
         result.add(machine.name);
+        spare.replaceAll((key, left) -> has(key, machine.offer) ? left - cpus : left);
       }
     }
     return result;
--- a/src/main/java/io/cherryspool/store/Budget.java
+++ b/src/main/java/io/cherryspool/store/Budget.java
@@ -11,8 +11,8 @@
  * back, cancels before submissions, submissions before rounds, and what can wait after those.
  */
 public final class Budget {
-  private static final double MARGIN = 0.9;
-  private static final double LEADER_WRITES = 0.6;
+  private static final double MARGIN = 0.95;
+  private static final double LEADER_WRITES = 0.8;
 
   /** How far the other nodes' rates may exceed their common share together. */
   private static final double OVERLAP = 2;
