--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Rental.java
@@ -294,7 +294,8 @@
         FleetPlan.of(
             new FleetPlan.View(
                 workload.time(),
-                rounds.unplaced(),
+                rounds.plan().unplaced(),
+                rounds.plan().displacing(),
                 coming(),
                 up(now),
                 workload.loads(),
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -58,7 +58,7 @@
   private final Runnable committed;
   private final Set<String> dirty = new LinkedHashSet<>();
   private final Map<String, Set<String>> failedOn = new HashMap<>();
-  private List<RoundPlan.Unplaced> unplaced = List.of();
+  private RoundPlan last = RoundPlan.NOTHING;
   private boolean placing;
   private boolean underWay;
   private boolean wanted;
@@ -165,9 +165,9 @@
     dirty.addAll(ledger.ownership().machines());
   }
 
-  /** What found no room in the last round that was planned. */
-  List<RoundPlan.Unplaced> unplaced() {
-    return unplaced;
+  /** The last round that was planned. */
+  RoundPlan plan() {
+    return last;
   }
 
   /**
@@ -316,7 +316,7 @@
     Duration now = loop.now();
     List<ClusterView.JobView> jobs = view.jobs(now);
     if (jobs.isEmpty()) {
-      unplaced = List.of();
+      last = RoundPlan.NOTHING;
       return;
     }
     RoundPlan plan =
@@ -331,8 +331,9 @@
                 view.teamUse(),
                 view.owed(teams),
                 catalog.get(),
+                last.unplaced().stream().map(RoundPlan.Unplaced::job).toList(),
                 limits.deadlineTimes()));
-    unplaced = plan.unplaced();
+    last = plan;
     for (RoundPlan.Assignment item : plan.assignments()) {
       JobEntry entry = replica.job(item.job());
       MachineState machine = fleet.get(item.machine());
--- a/src/main/java/io/cherryspool/scheduler/ClusterView.java
+++ b/src/main/java/io/cherryspool/scheduler/ClusterView.java
@@ -15,6 +15,7 @@
  * All that a round is planned from. Plain values, so that the same view gives the same plan.
  *
  * @param clock the steady clock, for how long tasks have run
+ * @param scarce the jobs that found no room in the round before
  * @param owed the teams whose unfinished work all fits into their guarantee
  * @param beginWithin the age at which a job that has not begun goes before all others
  */
@@ -28,6 +29,7 @@
     Map<String, Resources> teamUse,
     Set<String> owed,
     List<MachineType> catalog,
+    List<Job> scarce,
     Map<String, List<Double>> deadlineTimes) {
 
   /**
--- a/src/main/java/io/cherryspool/scheduler/FleetPlan.java
+++ b/src/main/java/io/cherryspool/scheduler/FleetPlan.java
@@ -47,6 +47,7 @@
   public record View(
       Instant now,
       List<RoundPlan.Unplaced> unplaced,
+      List<RoundPlan.Unplaced> displacing,
       List<Offer> incoming,
       List<Up> up,
       List<Load> loads,
@@ -79,6 +80,7 @@
     for (RoundPlan.Unplaced item : view.unplaced()) {
       plan.pack(item.job(), item.tasks());
     }
+    plan.makeWay();
     plan.renew();
     Set<String> closing = plan.closing();
     return new Plan(plan.rentals, plan.returns(closing), closing);
@@ -193,7 +195,7 @@
             > 0;
     double have = capacity(places);
     while (left > 0) {
-      Offer best = cheapest(job);
+      Offer best = cheapest(job, Set.of());
       if (best == null || !overdue && need(places).cpus(dearness(best)) <= have) {
         return;
       }
@@ -212,18 +214,55 @@
     return Math.max(1, offer.type().price(offer.spot()) / offer.type().price(true));
   }
 
+  /**
+   * Where nothing more can be had for work without room, machines of other types are rented for the
+   * tasks that run in its places; the next ones of their jobs then go there.
+   */
+  private void makeWay() {
+    Set<MachineType> wanted = new LinkedHashSet<>();
+    boolean soldOut = false;
+    for (RoundPlan.Unplaced item : view.unplaced()) {
+      Places places = places(item.job());
+      if (cheapest(item.job(), Set.of()) == null && need(places).cpus(1) > capacity(places)) {
+        soldOut = true;
+        view.catalog().stream().filter(item.job()::allowsType).forEach(wanted::add);
+      }
+    }
+    if (!soldOut) {
+      return;
+    }
+    for (RoundPlan.Unplaced item : view.displacing()) {
+      int left = item.tasks();
+      for (int i = 0; i < bins.size() && left > 0; i++) {
+        Bin bin = bins.get(i);
+        if (!wanted.contains(bin.offer.type()) && allows(item.job(), bin.offer)) {
+          left -= bin.fill(item.job(), left);
+        }
+      }
+      for (Offer best = cheapest(item.job(), wanted);
+          left > 0 && best != null;
+          best = cheapest(item.job(), wanted)) {
+        Bin bin = new Bin(best);
+        left -= bin.fill(item.job(), left);
+        bins.add(bin);
+        rent(best, 1);
+      }
+    }
+  }
+
   private void rent(Offer offer, int count) {
     crowds.merge(offer, count, Integer::sum);
     rentals.merge(offer, count, Integer::sum);
     count(offer, count);
   }
 
-  private Offer cheapest(Job job) {
+  /** The cheapest offer for the job, but of none of the types to be left to others. */
+  private Offer cheapest(Job job, Set<MachineType> but) {
     Offer best = null;
     double bestCost = Double.MAX_VALUE;
     for (MachineType type : view.catalog()) {
       int places = job.perTask().timesIn(type.size(), 1000);
-      if (places == 0) {
+      if (places == 0 || but.contains(type)) {
         continue;
       }
       for (String zone : type.zones()) {
--- a/src/main/java/io/cherryspool/scheduler/Placement.java
+++ b/src/main/java/io/cherryspool/scheduler/Placement.java
@@ -10,6 +10,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -28,6 +29,14 @@
   /** A machine with less than this left takes no task. */
   private static final double NO_CPUS = 0.01;
 
+  /** How many of the jobs without room are thought of when others are placed. */
+  private static final int SCARCE_JOBS = 3;
+
+  private static final int MANY = 1000;
+
+  /** What taking a place from a job without room counts, for each CPU of the place. */
+  private static final double SCARCE_CPU = 3;
+
   private final ClusterView view;
   private final Map<String, Resources> use;
   private final List<Bin> bins = new ArrayList<>();
@@ -36,11 +45,13 @@
   private final List<RoundPlan.Assignment> assignments = new ArrayList<>();
   private final List<RoundPlan.Unplaced> unplaced = new ArrayList<>();
   private final List<RoundPlan.Unplaced> atLimit = new ArrayList<>();
+  private final List<Job> scarce;
   private int considered;
 
   private Placement(ClusterView view) {
     this.view = view;
     this.use = new HashMap<>(view.teamUse());
+    this.scarce = view.scarce().subList(0, Math.min(SCARCE_JOBS, view.scarce().size()));
     for (MachineView machine : view.machines()) {
       if (machine.usable() && machine.free().cpus() > NO_CPUS) {
         bins.add(new Bin(machine));
@@ -55,6 +66,7 @@
         placement.assignments,
         Preemption.plan(view, placement.unplaced, placement.atLimit, placement.assignments),
         placement.unplaced,
+        placement.displacing(),
         placement.considered);
   }
 
@@ -196,13 +208,52 @@
    * Smaller is better: waiting for the image counts first, then the room left over and the price,
    * so that dear machines fall idle first and can be given back.
    */
-  private static double score(Job job, Bin bin) {
+  private double score(Job job, Bin bin) {
     double fetch = bin.hasImage(job.image()) ? 0 : job.imageGb() / rate(bin) * 10;
     Resources left = bin.free.minus(job.perTask());
     MachineView machine = bin.machine;
     MachineType type = machine.type();
     double perCpu = type.price(machine.spot()) / Math.max(1, type.size().cpus());
-    return fetch + left.cpus() + left.memoryGb() / 8 + CPUS_PER_PRICE * perCpu;
+    double taken = 0;
+    for (Job other : scarce) {
+      if (other != job && Rules.allows(other, type, machine.zone(), machine.spot())) {
+        Resources each = other.perTask();
+        int places = each.timesIn(bin.free, MANY) - each.timesIn(left, MANY);
+        taken = Math.max(taken, places * each.cpus());
+      }
+    }
+    return fetch + left.cpus() + left.memoryGb() / 8 + CPUS_PER_PRICE * perCpu + SCARCE_CPU * taken;
+  }
+
+  /**
+   * The tasks that run where those without room could, though other types would do for them.
+   * Machines of those types may still be had when the ones that everybody wants are not.
+   */
+  private List<RoundPlan.Unplaced> displacing() {
+    List<MachineType> wanted = new ArrayList<>();
+    for (MachineType type : view.catalog()) {
+      if (unplaced.stream().anyMatch(item -> item.job().allowsType(type))) {
+        wanted.add(type);
+      }
+    }
+    if (wanted.isEmpty() || wanted.size() == view.catalog().size()) {
+      return List.of();
+    }
+    Map<Job, Integer> counts = new LinkedHashMap<>();
+    for (MachineView machine : view.machines()) {
+      if (wanted.contains(machine.type())) {
+        machine.running().forEach(task -> counts.merge(task.job(), 1, Integer::sum));
+      }
+    }
+    List<RoundPlan.Unplaced> result = new ArrayList<>();
+    counts.forEach(
+        (job, count) -> {
+          if (view.catalog().stream()
+              .anyMatch(type -> !wanted.contains(type) && job.allowsType(type))) {
+            result.add(new RoundPlan.Unplaced(job, count));
+          }
+        });
+    return result;
   }
 
   private static double rate(Bin bin) {
--- a/src/main/java/io/cherryspool/scheduler/RoundPlan.java
+++ b/src/main/java/io/cherryspool/scheduler/RoundPlan.java
@@ -8,10 +8,19 @@
 /**
  * What a round decides: the assignments, the tasks to stop for others, and what found no room.
  *
+ * @param displacing tasks in places that those without room need, while they could use others
  * @param considered how many machines were looked at for tasks, which is what a plan costs
  */
 public record RoundPlan(
-    List<Assignment> assignments, List<Stop> stops, List<Unplaced> unplaced, int considered) {
+    List<Assignment> assignments,
+    List<Stop> stops,
+    List<Unplaced> unplaced,
+    List<Unplaced> displacing,
+    int considered) {
+
+  /** Nothing to do. */
+  public static final RoundPlan NOTHING =
+      new RoundPlan(List.of(), List.of(), List.of(), List.of(), 0);
 
   /** A free task given to a machine. */
   public record Assignment(String job, int task, String machine) {}
--- a/src/test/java/io/cherryspool/scheduler/PlacementTest.java
+++ b/src/test/java/io/cherryspool/scheduler/PlacementTest.java
@@ -70,6 +70,7 @@
             Map.of(),
             Set.of(),
             List.of(SMALL, LARGE),
+            List.of(),
             Map.of()));
   }
 
@@ -134,6 +135,7 @@
                 Map.of("red", normal.perTask().times(2)),
                 Set.of(),
                 List.of(LARGE),
+                List.of(),
                 Map.of()));
     assertEquals(1, plan.assignments().size(), "what the limit still allows");
     assertEquals(
