--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Rental.java
@@ -179,7 +179,8 @@
       }
     }
     Duration usual = timings.report().multipliedBy(3).plusSeconds(2);
-    Set<String> cutZones = cutZones(now, usual);
+    // Late comes well before silent, or the first machines of a cut zone would be deleted singly.
+    Set<String> cutZones = cutZones(now, timings.report().multipliedBy(2).plusSeconds(1));
     for (MachineState machine : fleet.all()) {
       if (machine.gone) {
         continue;
@@ -218,13 +219,13 @@
    * cut off than dead, and so is this node where its reports come late: the machines may be running
    * their tasks well. Those that the cloud no longer lists were taken back.
    */
-  private Set<String> cutZones(Duration now, Duration patience) {
+  private Set<String> cutZones(Duration now, Duration late) {
     Map<String, Integer> bad = new HashMap<>();
     Map<String, Integer> all = new HashMap<>();
     for (MachineState machine : fleet.all()) {
       if (!machine.gone && list.containsKey(machine.name)) {
         all.merge(machine.zone, 1, Integer::sum);
-        boolean lost = silent(machine, now).compareTo(patience) > 0 || machine.unheeded > 1;
+        boolean lost = silent(machine, now).compareTo(late) > 0 || machine.unheeded > 1;
         bad.merge(machine.zone, lost ? 1 : 0, Integer::sum);
       }
     }
--- a/src/main/java/io/cherryspool/controller/Workload.java
+++ b/src/main/java/io/cherryspool/controller/Workload.java
@@ -19,7 +19,16 @@
  * estimates, corrected by how those of the class have turned out.
  */
 final class Workload {
-  private static final Duration WINDOW = Duration.ofSeconds(120);
+  /** Long enough that a few large jobs do not look like a change of the times. */
+  private static final Duration WINDOW = Duration.ofSeconds(300);
+
+  /** Short enough that machines are not kept for work which has ceased to come. */
+  private static final Duration LATELY = Duration.ofSeconds(90);
+
+  private static final double RISE = 1.6;
+
+  /** The first jobs of a service come at once and say nothing of how many will follow. */
+  private static final Duration LEAST = Duration.ofSeconds(60);
 
   /** Tasks of a class after which its pace is trusted, and how much an older one still counts. */
   private static final int ENOUGH = 20;
@@ -81,9 +90,22 @@
   List<FleetPlan.Load> loads() {
     recent.values().removeIf(entry -> age(entry.job()).compareTo(WINDOW) >= 0);
     List<FleetPlan.Load> result = new ArrayList<>();
+    double all = 0;
+    double lately = 0;
+    Duration span = LEAST;
+    for (JobEntry entry : recent.values()) {
+      double work = work(entry.job(), entry.job().tasks());
+      Duration age = age(entry.job());
+      span = age.compareTo(span) > 0 ? age : span;
+      all += work;
+      lately += age.compareTo(LATELY) < 0 ? work : 0;
+    }
+    double rate = all / seconds(span);
+    double bound = RISE * lately / Math.min(seconds(LATELY), seconds(span));
+    double share = rate <= 0 ? 0 : Math.min(1, bound / rate) / seconds(span);
     for (JobEntry entry : recent.values()) {
       double work = work(entry.job(), entry.job().tasks());
-      result.add(new FleetPlan.Load(entry.job(), work / seconds(WINDOW), 0));
+      result.add(new FleetPlan.Load(entry.job(), work * share, 0));
     }
     for (JobEntry entry : replica.active()) {
       if (entry.outcome() == null) {
--- a/src/main/java/io/cherryspool/scheduler/FleetPlan.java
+++ b/src/main/java/io/cherryspool/scheduler/FleetPlan.java
@@ -359,10 +359,13 @@
         continue;
       }
       Duration keep = view.idleKeep();
-      Duration limit =
-          closing.contains(machine.name)
-              ? machine.offer.spot() ? keep : keep.dividedBy(4)
-              : keep.multipliedBy(3);
+      Duration limit = keep.multipliedBy(4);
+      if (closing.contains(machine.name)) {
+        limit = machine.offer.spot() ? keep.multipliedBy(2) : keep.dividedBy(4);
+      } else if (!view.unplaced().isEmpty()) {
+        // It is no use to the work that waits, and may stand in the way of machines that are.
+        limit = keep;
+      }
       if (machine.idleFor.compareTo(limit) >= 0) {
         names.add(machine.name);
       }
