--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -149,6 +149,11 @@
     replica.stop();
   }
 
+  /** Whether this node leads now and may act for the controllers. */
+  public boolean leads() {
+    return reign != null && election.authorized();
+  }
+
   /** Word from another node. */
   public void heard(Mesh.Word word) {
     election.hear(word.term());
@@ -277,7 +282,7 @@
       LOG.warn("a malformed report: {}", e.getMessage());
       return Reply.json(400, JobWire.error(e.getMessage()));
     }
-    if (reign != null && election.authorized()) {
+    if (leads()) {
       byte[] answer = reign.report(report);
       if (reign != null) {
         return Reply.json(200, answer);
--- a/src/test/java/io/cherryspool/sim/RuleChecker.java
+++ b/src/test/java/io/cherryspool/sim/RuleChecker.java
@@ -149,7 +149,7 @@
   /** Nobody's polls may stay without an answer for good. */
   void checkAnswered() {
     for (String id : accepted) {
-      boolean silent = time.now().minus(answered.get(id)).toSeconds() > 90;
+      boolean silent = time.now().minus(answered.get(id)).toSeconds() > 75;
       broken(silent && !ended.containsKey(id), "forgotten", id + " unanswered");
     }
   }
--- a/src/test/java/io/cherryspool/sim/SimNet.java
+++ b/src/test/java/io/cherryspool/sim/SimNet.java
@@ -19,15 +19,20 @@
 
 /**
  * The simulated network. A cut between two hosts holds requests and answers and delivers them when
- * it ends, whether or not the sender has given up; now and then an answer is lost.
+ * it ends, whether or not the sender has given up; now and then an answer is lost. A host may be
+ * deaf: what it sends arrives, and nothing reaches it. Copies of workers' reports may come late.
  */
 final class SimNet {
   private static final double LOST_ANSWER = 0.002;
+  private static final double COPIED = 0.02;
+  private static final int COPY_LATEST_MS = 70_000;
 
   private final VirtualTime time;
   private final RandomGenerator random;
   private final Map<Endpoint, Handler> hosts = new HashMap<>();
+  private final Set<String> deaf = new HashSet<>();
   private final Set<String> cuts = new HashSet<>();
+  private boolean copies;
   private final Map<String, List<Runnable>> held = new HashMap<>();
 
   SimNet(VirtualTime time, RandomGenerator random) {
@@ -58,11 +63,37 @@
     }
   }
 
+  /** Nothing reaches the host for so long, while its own messages arrive. */
+  void deafen(String host, Duration duration) {
+    if (deaf.add(host)) {
+      time.schedule(duration, () -> deaf.remove(host));
+    }
+  }
+
+  /** Whether copies of reports come, from at once to well over a lease later. */
+  void copyReports(boolean on) {
+    copies = on;
+  }
+
+  private void maybeCopy(Endpoint to, Request request) {
+    if (copies && request.path().equals("/v1/report") && random.nextDouble() < COPIED) {
+      time.schedule(
+          Duration.ofMillis(random.nextInt(COPY_LATEST_MS)),
+          () -> {
+            Handler handler = hosts.get(to);
+            if (handler != null) {
+              handler.handle(request);
+            }
+          });
+    }
+  }
+
   /** The sockets of one host; answers reach it only while it is alive. */
   Transport from(String host, BooleanSupplier alive) {
     return (to, request, deadline) -> {
       CompletableFuture<Reply> result = new CompletableFuture<>();
       time.schedule(deadline, () -> fail(result, alive, "no answer from " + to));
+      maybeCopy(to, request);
       carry(host, to.host(), () -> deliver(host, to, request, result, alive));
       return result;
     };
@@ -108,6 +139,9 @@
     time.schedule(
         delay,
         () -> {
+          if (deaf.contains(to)) {
+            return;
+          }
           if (cuts.contains(pair)) {
             held.computeIfAbsent(pair, key -> new ArrayList<>()).add(arrival);
           } else {
--- a/src/test/java/io/cherryspool/sim/Simulation.java
+++ b/src/test/java/io/cherryspool/sim/Simulation.java
@@ -84,6 +84,7 @@
     private final Endpoint address;
     private final Endpoint meshAddress;
     private int life;
+    private boolean alone;
     private Controller controller;
 
     Node(int index) {
@@ -138,7 +139,7 @@
     }
 
     private void tell(int mine, Mesh.Word word) {
-      if (life != mine) {
+      if (life != mine || alone) {
         return;
       }
       for (Node other : nodes) {
@@ -146,7 +147,7 @@
           time.schedule(
               Duration.ofMillis(2),
               () -> {
-                if (other.controller != null) {
+                if (other.controller != null && !other.alone) {
                   other.controller.heard(word);
                 }
               });
@@ -154,6 +155,17 @@
       }
     }
 
+    boolean leads() {
+      return controller != null && controller.leads();
+    }
+
+    /** Loses the state service and the other controllers, but not its workers. */
+    void isolate(Duration length) {
+      alone = true;
+      net.cut(address.host(), STATE.host(), length);
+      time.schedule(length, () -> alone = false);
+    }
+
     void crash(Duration down) {
       if (controller != null) {
         life++;
@@ -192,6 +204,8 @@
   /** Plays a day: troubles for a while, then quiet until everything has to be over. */
   void play(double troubles, double quiet) {
     troubleEnd = troubles;
+    net.copyReports(true);
+    after(troubles, () -> net.copyReports(false));
     after(1, this::arrive);
     after(20, this::trouble);
     run(troubles + quiet);
@@ -342,7 +356,7 @@
     after(3 + random.nextDouble() * 20, this::trouble);
     Duration length = Duration.ofMillis(2000 + random.nextLong(25_000));
     Node node = nodes.get(random.nextInt(3));
-    switch (random.nextInt(10)) {
+    switch (random.nextInt(14)) {
       case 0 -> node.crash(Duration.ofMillis(200 + random.nextLong(8000)));
       case 1 -> nodes.forEach(item -> item.crash(Duration.ofMillis(500 + random.nextLong(8000))));
       case 2 -> {
@@ -370,6 +384,17 @@
                     worker.warn(6);
                     after(6, () -> cloud.take(worker.machine().name));
                   });
+      case 9 -> anyWorker().ifPresent(worker -> net.deafen(worker.machine().host, length));
+      case 10 -> node.isolate(length);
+      case 11 -> {
+        // Back at once, and maybe gone again in the middle of the election that follows.
+        node.crash(Duration.ofMillis(50 + random.nextLong(400)));
+        after(0.5 + random.nextDouble(), () -> node.crash(Duration.ofMillis(100)));
+      }
+      case 12 -> {
+        Node busiest = nodes.stream().filter(Node::leads).findFirst().orElse(node);
+        busiest.isolate(length);
+      }
       default -> {
         String zone = ZONES.get(random.nextInt(3));
         for (Node item : nodes) {
