--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Rental.java
@@ -8,6 +8,7 @@
 import io.cherryspool.scheduler.FleetPlan;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -180,7 +181,8 @@
     }
     Duration usual = timings.report().multipliedBy(3).plusSeconds(2);
     // Late comes well before silent, or the first machines of a cut zone would be deleted singly.
-    Set<String> cutZones = cutZones(now, timings.report().multipliedBy(2).plusSeconds(1));
+    Duration late = timings.report().multipliedBy(2).plusSeconds(1);
+    Set<String> cutZones = cutZones(fleet.all(), list.keySet(), now, late);
     for (MachineState machine : fleet.all()) {
       if (machine.gone) {
         continue;
@@ -219,11 +221,12 @@
    * cut off than dead, and so is this node where its reports come late: the machines may be running
    * their tasks well. Those that the cloud no longer lists were taken back.
    */
-  private Set<String> cutZones(Duration now, Duration late) {
+  static Set<String> cutZones(
+      Collection<MachineState> fleet, Set<String> listed, Duration now, Duration late) {
     Map<String, Integer> bad = new HashMap<>();
     Map<String, Integer> all = new HashMap<>();
-    for (MachineState machine : fleet.all()) {
-      if (!machine.gone && list.containsKey(machine.name)) {
+    for (MachineState machine : fleet) {
+      if (!machine.gone && listed.contains(machine.name)) {
         all.merge(machine.zone, 1, Integer::sum);
         boolean lost = silent(machine, now).compareTo(late) > 0 || machine.unheeded > 1;
         bad.merge(machine.zone, lost ? 1 : 0, Integer::sum);
--- /dev/null
+++ b/src/test/java/io/cherryspool/controller/CutZoneTest.java
@@ -0,0 +1,61 @@
+package io.cherryspool.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.cherryspool.model.Report;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A zone cut off for 20 s lost 208 machines, deleted one by one as they came to count as silent.
+ */
+class CutZoneTest {
+  private static final Duration LATE = Duration.ofSeconds(11);
+
+  private final List<MachineState> fleet = new ArrayList<>();
+  private final Set<String> listed = new HashSet<>();
+
+  private void machine(String zone, double heardAt) {
+    String name = "host-" + fleet.size();
+    MachineState machine = new MachineState(name, "box", zone, false, Duration.ZERO);
+    Report report = new Report(name, "127.0.0.1:1", "box", zone, false, 1, 1, 0, null, List.of());
+    machine.accept(report, Duration.ofMillis((long) (heardAt * 1000)));
+    fleet.add(machine);
+    listed.add(name);
+  }
+
+  private Set<String> cutAt(double second) {
+    return Rental.cutZones(fleet, listed, Duration.ofMillis((long) (second * 1000)), LATE);
+  }
+
+  @Test
+  void isKnownBeforeTheFirstOfItsMachinesCountsAsSilent() {
+    for (int i = 0; i < 60; i++) {
+      machine("a", 100 + i * 5.0 / 60);
+      machine("b", 116 + i * 5.0 / 60);
+    }
+    assertEquals(Set.of(), cutAt(110));
+    assertEquals(Set.of("a"), cutAt(117), "silent since 100, and deleted from 117 on");
+  }
+
+  @Test
+  void aFewDeadMachinesAreNoCut() {
+    for (int i = 0; i < 40; i++) {
+      machine("a", i < 3 ? 100 : 118);
+    }
+    assertEquals(Set.of(), cutAt(119));
+  }
+
+  @Test
+  void machinesTakenBackAreNotListedAndNoCut() {
+    for (int i = 0; i < 40; i++) {
+      machine("a", i < 20 ? 100 : 118);
+    }
+    fleet.subList(0, 20).forEach(machine -> listed.remove(machine.name));
+    assertEquals(Set.of(), cutAt(119));
+  }
+}
