--- a/src/main/java/io/cherryspool/controller/MachineState.java
+++ b/src/main/java/io/cherryspool/controller/MachineState.java
@@ -71,7 +71,7 @@
   Duration firstSeen;
   boolean deleting;
 
-  /** It is given no more work, since the fleet does without it. */
+  /** The fleet does without it: it gets only work that finds no room elsewhere. */
   boolean closing;
 
   /** The cloud has confirmed that the machine and everything on it are gone. */
--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Rental.java
@@ -307,7 +307,11 @@
                 soldOut.keySet(),
                 idleKeep));
     for (MachineState machine : fleet.all()) {
-      machine.closing = plan.closing().contains(machine.name);
+      boolean closing = plan.closing().contains(machine.name);
+      if (closing != machine.closing) {
+        machine.closing = closing;
+        machine.view = null;
+      }
     }
     if (!plan.rentals().isEmpty()) {
       Map.Entry<FleetPlan.Offer, Integer> first = plan.rentals().entrySet().iterator().next();
--- a/src/main/java/io/cherryspool/controller/RoundView.java
+++ b/src/main/java/io/cherryspool/controller/RoundView.java
@@ -170,7 +170,6 @@
     return machine.latest != null
         && !machine.gone
         && !machine.deleting
-        && !machine.closing
         && machine.unheeded == 0
         && machine.latest.notice() == null
         && machine.failuresInARow < Rental.SICK
@@ -196,6 +195,7 @@
         machine.zone,
         machine.spot,
         true,
+        machine.closing,
         free,
         Set.copyOf(machine.images),
         Set.copyOf(machine.failedJobs.keySet()),
--- a/src/main/java/io/cherryspool/scheduler/ClusterView.java
+++ b/src/main/java/io/cherryspool/scheduler/ClusterView.java
@@ -45,13 +45,17 @@
    */
   public record FreeTask(int number, int attempts, int failures, Duration lapsed) {}
 
-  /** A machine; {@code free} is what its owned tasks, saving and unreachable ones too, leave. */
+  /**
+   * A machine; {@code free} is what its owned tasks, saving and unreachable ones too, leave. One
+   * that is {@code closing} is to run empty and gets only what finds no room elsewhere.
+   */
   public record MachineView(
       String name,
       MachineType type,
       String zone,
       boolean spot,
       boolean usable,
+      boolean closing,
       Resources free,
       Set<String> images,
       Set<String> shunnedBy,
--- a/src/main/java/io/cherryspool/scheduler/FleetPlan.java
+++ b/src/main/java/io/cherryspool/scheduler/FleetPlan.java
@@ -72,7 +72,7 @@
     view.up().forEach(machine -> count(machine.offer, 1));
   }
 
-  /** What to rent, what to give back, and what to give no more work, so that it can go back. */
+  /** What to rent, what to give back, and what is to run empty, so that it can go back. */
   public record Plan(Map<Offer, Integer> rentals, List<String> returns, Set<String> closing) {}
 
   public static Plan of(View view) {
--- a/src/main/java/io/cherryspool/scheduler/Placement.java
+++ b/src/main/java/io/cherryspool/scheduler/Placement.java
@@ -32,6 +32,9 @@
   /** How many of the jobs without room are thought of when others are placed. */
   private static final int SCARCE_JOBS = 3;
 
+  /** A machine that is to run empty comes after all others, whatever speaks for it. */
+  private static final double CLOSING = 1e6;
+
   private static final int MANY = 1000;
 
   /** What taking a place from a job without room counts, for each CPU of the place. */
--- a/src/test/java/io/cherryspool/scheduler/PlacementTest.java
+++ b/src/test/java/io/cherryspool/scheduler/PlacementTest.java
@@ -55,7 +55,7 @@
     for (RunningTask task : running) {
       free = free.minus(task.job().perTask());
     }
-    return new MachineView(name, type, "a", false, true, free, Set.of(), Set.of(), running);
+    return new MachineView(name, type, "a", false, true, false, free, Set.of(), Set.of(), running);
   }
 
   private static RoundPlan plan(List<JobView> jobs, List<MachineView> machines, Team team) {
@@ -189,6 +189,7 @@
                 ZONES.get(random.nextInt(3)),
                 random.nextBoolean(),
                 random.nextInt(5) != 0,
+                random.nextInt(5) == 0,
                 type.size(),
                 Set.of(),
                 Set.of(),
