--- /dev/null
+++ b/src/test/java/io/cherryspool/controller/RoundEditsTest.java
@@ -0,0 +1,99 @@
+package io.cherryspool.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cherryspool.model.Attempt;
+import io.cherryspool.model.Job;
+import io.cherryspool.model.JobFixture;
+import io.cherryspool.model.Priority;
+import io.cherryspool.model.TaskId;
+import io.cherryspool.store.Budget;
+import io.cherryspool.store.JobEntry;
+import io.cherryspool.store.JobEntryFixture;
+import io.cherryspool.store.Records;
+import io.cherryspool.wire.StateWire;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a round writes of what it knows: a write for each task's end left none for starts. */
+class RoundEditsTest {
+  private static final String ID = "req-000001";
+  private static final Duration DUE = Duration.ofSeconds(100);
+  private static final Duration OVERDUE = Duration.ofSeconds(80);
+
+  private final Job job = JobFixture.job(ID, Priority.NORMAL, 4, 1);
+  private final JobEntry entry = JobEntryFixture.running(job, 3, "host-1");
+  private final Proofs proofs = new Proofs();
+
+  private void ended(int task, Judge.Verdict verdict, int at) {
+    Attempt attempt = entry.shard(0).shard().owner(task);
+    proofs.add(
+        new Proofs.Proof(
+            new Ownership.Owned(entry, new TaskId(ID, task), attempt),
+            verdict,
+            Duration.ofSeconds(at)));
+  }
+
+  private List<RoundWriter.Unit> units(RoundEdits edits) {
+    return edits.units(List.of(entry), DUE, OVERDUE);
+  }
+
+  private RoundEdits edits() {
+    return new RoundEdits(proofs, 8);
+  }
+
+  @Test
+  void aFreshEndWaitsForAnotherChangeOfItsShard() {
+    ended(0, Judge.Verdict.DONE, 101);
+    assertEquals(List.of(), units(edits()));
+    RoundEdits edits = edits();
+    edits.assign(entry, 3, "host-2", 1, 9);
+    List<RoundWriter.Unit> units = units(edits);
+    assertEquals(1, units.size());
+    String value = units.get(0).changes().get(0).value().toString();
+    assertTrue(value.contains("\"done\":[0,0]"), value);
+    assertTrue(value.contains("[3,\"host-2\",1,1,9]"), value);
+    assertEquals(7L, units.get(0).conditions().get(Records.progress(ID, 0)));
+    assertEquals(0L, units.get(0).conditions().get(Records.outcome(ID)), "not after a cancel");
+  }
+
+  @Test
+  void itWaitsAsLongAsTheBudgetIsShortButNotForGood() {
+    ended(0, Judge.Verdict.DONE, 99);
+    assertEquals(Budget.Use.LATER, units(edits()).get(0).use());
+    ended(1, Judge.Verdict.FAILED, 79);
+    assertEquals(Budget.Use.ROUND, units(edits()).get(0).use());
+  }
+
+  /** The freed task is planned again before its release is written. */
+  @Test
+  void aReleaseAndTheNextStartOfATaskAreOneWrite() {
+    ended(2, Judge.Verdict.LAPSED, 101);
+    RoundEdits edits = edits();
+    edits.assign(entry, 2, "host-2", 4, 9);
+    String value = units(edits).get(0).changes().get(0).value().toString();
+    assertTrue(value.contains("[2,\"host-2\",4,2,9]"), value);
+    assertTrue(value.contains("[2,2,1]"), "the second attempt, and one failure: " + value);
+  }
+
+  @Test
+  void theLastEndIsWrittenAtOnceAndFirst() {
+    JobEntry all = JobEntryFixture.running(JobFixture.job(ID, Priority.NORMAL, 2, 1), 2, "host-1");
+    for (int task = 0; task < 2; task++) {
+      Attempt attempt = all.shard(0).shard().owner(task);
+      proofs.add(
+          new Proofs.Proof(
+              new Ownership.Owned(all, new TaskId(ID, task), attempt),
+              Judge.Verdict.DONE,
+              Duration.ofSeconds(101)));
+    }
+    List<RoundWriter.Unit> units = edits().units(List.of(all), DUE, OVERDUE);
+    assertEquals(1, units.size());
+    assertEquals(
+        List.of(Records.outcome(ID), Records.progress(ID, 0)),
+        units.get(0).changes().stream().map(StateWire.Change::key).toList());
+    assertEquals(Budget.Use.ROUND, units.get(0).use());
+  }
+}
