--- a/src/main/java/io/cherryspool/scheduler/QueueOrder.java
+++ b/src/main/java/io/cherryspool/scheduler/QueueOrder.java
@@ -111,7 +111,7 @@
    */
   static int rank(Job job, ClusterView cluster) {
     Duration age = Duration.between(job.submitted(), cluster.now());
-    boolean aged = age.compareTo(cluster.beginWithin().multipliedBy(3).dividedBy(2)) >= 0;
+    boolean aged = age.compareTo(cluster.beginWithin().multipliedBy(3)) >= 0;
     return job.priority().ordinal() + (aged ? 1 : 0);
   }
 
@@ -129,7 +129,7 @@
         }
       }
     }
-    return job.submitted().plus(cluster.beginWithin().multipliedBy(3));
+    return job.submitted().plus(cluster.beginWithin().multipliedBy(4));
   }
 
   static int level(Job job) {
