Count a session's own lease before judging its tasks lapsed; staff for few large jobs

A session lives for a lease from its start: that now counts, and a machine with less than half its lease left is given no work.

--- a/src/main/java/io/cherryspool/config/OperatorSettings.java
+++ b/src/main/java/io/cherryspool/config/OperatorSettings.java
@@ -31,7 +31,7 @@
           Duration.ofSeconds(4),
           20,
           Duration.ofSeconds(40),
-          Duration.ofSeconds(120));
+          Duration.ofSeconds(150));
 
   /** Reads the file; the defaults where there is none. */
   public static OperatorSettings load(Path file) throws ConfigException {
--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -207,6 +207,7 @@
         new Rounds.Limits(
             operators.roundMax(),
             timings.report().multipliedBy(2).plusMillis(500),
+            settings.workerLease().dividedBy(2),
             operators.beginWithin(),
             operators.failureCap(),
             maxChanges,
--- a/src/main/java/io/cherryspool/controller/Judge.java
+++ b/src/main/java/io/cherryspool/controller/Judge.java
@@ -95,7 +95,7 @@
 
   /** Until when some leader may have kept the worker alive. */
   private Duration keptAliveUntil(MachineState machine) {
-    Duration own = machine.answered == null ? termStart : machine.answered;
+    Duration own = machine.keptAlive() == null ? termStart : machine.keptAlive();
     boolean fenced = machine.latest != null && machine.latest.token() > tokens.base();
     Duration earlier = fenced ? termStart : termStart.plus(timings.authority());
     return own.compareTo(earlier) > 0 ? own : earlier;
--- a/src/main/java/io/cherryspool/controller/MachineState.java
+++ b/src/main/java/io/cherryspool/controller/MachineState.java
@@ -24,6 +24,12 @@
 
   Duration heard;
 
+  /**
+   * When this leader first heard of the present session. A session lives for a lease from its start
+   * even if none of its reports is answered, and it began before it was heard of.
+   */
+  private Duration sessionSince;
+
   /** When this leader last answered one of its reports, null if never. */
   Duration answered;
 
@@ -90,6 +96,9 @@
     if (latest != null && !report.newerThan(latest)) {
       return false;
     }
+    if (latest == null || report.session() > latest.session()) {
+      sessionSince = now;
+    }
     latest = report;
     heard = now;
     view = null;
@@ -127,6 +136,15 @@
     return true;
   }
 
+  /**
+   * Since when nothing that this leader knows of has kept the session alive; null if unheard of.
+   */
+  Duration keptAlive() {
+    return answered == null || sessionSince != null && sessionSince.compareTo(answered) > 0
+        ? sessionSince
+        : answered;
+  }
+
   /** Whether no direct command sent before may still run on the worker. */
   boolean settled() {
     return latest != null && latest.token() > Math.max(unanswered, underWay);
--- a/src/main/java/io/cherryspool/controller/RoundView.java
+++ b/src/main/java/io/cherryspool/controller/RoundView.java
@@ -40,6 +40,7 @@
   private final Stops stops;
   private final Tokens tokens;
   private final Duration silence;
+  private final Duration halfLease;
   private final int failureCap;
   private final Map<String, SeenJob> jobs = new HashMap<>();
   private final Map<TaskId, Duration> lapsed = new HashMap<>();
@@ -53,6 +54,7 @@
       Rounds.Ledger ledger,
       Tokens tokens,
       Duration silence,
+      Duration halfLease,
       int failureCap) {
     this.replica = replica;
     this.fleet = fleet;
@@ -61,6 +63,7 @@
     this.stops = ledger.stops();
     this.tokens = tokens;
     this.silence = silence;
+    this.halfLease = halfLease;
     this.failureCap = failureCap;
   }
 
@@ -164,7 +167,9 @@
 
   /**
    * Whether the machine may be given work: it has taken in a token of this term, heeds its answers,
-   * and has reported a short while ago.
+   * was heard of a short while ago, and half its lease is left. Direct calls do not renew the
+   * lease, so that one which answers them while its reports go astray is about to lose what it
+   * runs.
    */
   private boolean usable(MachineState machine, Duration now) {
     return machine.latest != null
@@ -174,6 +179,7 @@
         && machine.latest.notice() == null
         && machine.failuresInARow < Rental.SICK
         && now.minus(machine.heard).compareTo(silence) < 0
+        && now.minus(machine.keptAlive()).compareTo(halfLease) < 0
         && machine.latest.token() > tokens.base();
   }
 
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -95,7 +95,14 @@
     this.workload = workload;
     this.committed = committed;
     this.view =
-        new RoundView(replica, fleet, ledger, tokens, limits.silence(), limits.failureCap());
+        new RoundView(
+            replica,
+            fleet,
+            ledger,
+            tokens,
+            limits.silence(),
+            limits.halfLease(),
+            limits.failureCap());
   }
 
   /** What the leader knows of owned tasks: by the records, by proof, and by its own decision. */
@@ -105,6 +112,7 @@
   record Limits(
       Duration roundMax,
       Duration silence,
+      Duration halfLease,
       Duration beginWithin,
       int failureCap,
       int maxChanges,
--- a/src/main/java/io/cherryspool/controller/Workload.java
+++ b/src/main/java/io/cherryspool/controller/Workload.java
@@ -105,7 +105,8 @@
     double share = rate <= 0 ? 0 : Math.min(1, bound / rate) / seconds(span);
     for (JobEntry entry : recent.values()) {
       double work = work(entry.job(), entry.job().tasks());
-      result.add(new FleetPlan.Load(entry.job(), work * share, 0));
+      double cpus = entry.job().tasks() * entry.job().perTask().cpus();
+      result.add(new FleetPlan.Load(entry.job(), work * share, work * cpus * share, 0));
     }
     for (JobEntry entry : replica.active()) {
       if (entry.outcome() == null) {
@@ -114,7 +115,7 @@
         int done = entry.doneCount() + Proofs.done(proofs.ofJob(entry.job().id()).values());
         int waiting = entry.job().tasks() - done - running;
         if (waiting > 0) {
-          result.add(new FleetPlan.Load(entry.job(), 0, work(entry.job(), waiting)));
+          result.add(new FleetPlan.Load(entry.job(), 0, 0, work(entry.job(), waiting)));
         }
       }
     }
--- a/src/main/java/io/cherryspool/scheduler/FleetPlan.java
+++ b/src/main/java/io/cherryspool/scheduler/FleetPlan.java
@@ -21,8 +21,14 @@
  * room, replaces ordinary machines by spot ones, and gives back what is beyond.
  */
 public final class FleetPlan {
-  /** The part of the fleet that the arriving work should fill; the rest takes the ups and downs. */
-  private static final double FILL = 0.85;
+  /** The part of the fleet that the arriving work should fill at most. */
+  private static final double FILL = 0.9;
+
+  /**
+   * How much of the usual deviation of the running work the fleet bears. A few large jobs at a time
+   * go up and down by far more, as a part, than many small ones do.
+   */
+  private static final double DEVIATION = 0.7;
 
   /** A machine is closed only if that leaves so much more than the work needs. */
   private static final double MARGIN = 1.08;
@@ -40,8 +46,12 @@
   /** A machine in use; {@code idleFor} is null while it owns tasks. */
   public record Up(String name, Offer offer, double usedCpus, Duration idleFor) {}
 
-  /** Work in CPU seconds: a job's that arrived a short while ago, or what of it waits. */
-  public record Load(Job job, double arrivedPerSecond, double waiting) {}
+  /**
+   * Work in CPU seconds: a job's that arrived a short while ago, or what of it waits. {@code
+   * variance} is what jobs like it, each with all its tasks at once, add to that of the CPUs in
+   * use.
+   */
+  public record Load(Job job, double arrivedPerSecond, double variance, double waiting) {}
 
   /** What the fleet is planned from. {@code soldOut} holds the offers refused a short while ago. */
   public record View(
@@ -124,20 +134,23 @@
         key -> {
           double arriving = 0;
           double waiting = 0;
+          double variance = 0;
           for (Load load : view.loads()) {
             if (places(load.job).within(places)) {
               arriving += load.arrivedPerSecond;
               waiting += load.waiting;
+              variance += load.variance;
             }
           }
-          return new Need(arriving / FILL, waiting / horizon(places).toMillis() * 1000);
+          double spare = Math.max(arriving / FILL - arriving, DEVIATION * Math.sqrt(variance));
+          return new Need(arriving, spare + waiting / horizon(places).toMillis() * 1000);
         });
   }
 
-  /** CPUs for what arrives, and for what waits. */
-  private record Need(double arriving, double waiting) {
+  /** CPUs for what arrives, and for its ups and downs and what waits. */
+  private record Need(double arriving, double peaks) {
     double cpus(double dearness) {
-      return arriving + waiting / dearness;
+      return arriving + peaks / dearness;
     }
   }
 
--- a/src/main/java/io/cherryspool/scheduler/QueueOrder.java
+++ b/src/main/java/io/cherryspool/scheduler/QueueOrder.java
@@ -26,6 +26,7 @@
 final class QueueOrder {
   private static final Comparator<Entry> ORDER =
       Comparator.comparing((Entry entry) -> !entry.front())
+          .thenComparing(entry -> entry.front() ? entry.job().job().submitted() : Instant.EPOCH)
           .thenComparing(entry -> !entry.owed())
           .thenComparingInt(entry -> -entry.rank())
           .thenComparing(Entry::due)
--- a/src/test/java/io/cherryspool/controller/FenceTest.java
+++ b/src/test/java/io/cherryspool/controller/FenceTest.java
@@ -115,6 +115,33 @@
     assertEquals(Judge.Verdict.LAPSED, at(4 + LEASE.toSeconds() + 0.1));
   }
 
+  /**
+   * A machine whose reports went astray while it answered direct calls began a new session, was
+   * given work there, and had it taken for lapsed at once, by the last answer in the session
+   * before.
+   */
+  @Test
+  void aSessionLivesForALeaseFromItsStartWithoutAnyAnswer() {
+    hears(2, tokens.current(), null, null);
+    machine.answered = START.plusSeconds(4);
+    Report next =
+        new Report(
+            "host-1",
+            "127.0.0.1:1",
+            "box",
+            "a",
+            false,
+            3,
+            ++sequence,
+            tokens.current(),
+            null,
+            List.of(new Report.TaskReport(TASK, 1, Report.State.RUNNING, null)));
+    assertTrue(machine.accept(next, START.plusSeconds(30)));
+    assertEquals(Judge.Verdict.OWNED, at(31));
+    assertEquals(Judge.Verdict.OWNED, at(30 + LEASE.toSeconds() - 0.1));
+    assertEquals(Judge.Verdict.LAPSED, at(30 + LEASE.toSeconds() + 0.1));
+  }
+
   @Test
   void aTaskThatTheRecordsGiveToNobodyIsStopped() {
     hears(3, tokens.current(), Report.State.RUNNING, null);
