Say the queue's ages as they are, and call one piece where the change wrote it again

The comment on the queue's order still gave the ages before late jobs were let rise later. Filling machines on their way and renting one stood twice in FleetPlan, the look-up of types twice in Rental, the look-up of a job's proofs twice in Workload, and marking a machine as touched three times in Reign.

--- a/src/main/java/io/cherryspool/controller/Reign.java
+++ b/src/main/java/io/cherryspool/controller/Reign.java
@@ -133,8 +133,7 @@
   private final class Changes implements Ownership.Listener {
     @Override
     public void machineTouched(String machine) {
-      ordered.add(machine);
-      rounds.machineTouched(machine);
+      touched(machine);
     }
 
     @Override
@@ -231,8 +230,13 @@
       ingest(report);
     }
     // Whether the call may still run bears on what absence proves.
-    rounds.machineTouched(machine.name);
-    ordered.add(machine.name);
+    touched(machine.name);
+  }
+
+  /** Something of the machine has changed that may prove an end or ask for an order. */
+  private void touched(String machine) {
+    rounds.machineTouched(machine);
+    ordered.add(machine);
   }
 
   private void ingest(Report report) {
@@ -256,8 +260,7 @@
             || before.token() != report.token()
             || (before.notice() == null) != (report.notice() == null);
     if (news && machine.latest == report) {
-      rounds.machineTouched(machine.name);
-      ordered.add(machine.name);
+      touched(machine.name);
       rounds.request();
       if (report.notice() != null && (before == null || before.notice() == null)) {
         LOG.info("machine {} will be taken in {} s", machine.name, report.notice().toSeconds());
--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Rental.java
@@ -326,8 +326,7 @@
 
   /** Machines on their way: rented in this term and not heard yet, or listed as booting. */
   private List<FleetPlan.Offer> coming() {
-    Map<String, MachineType> types = new HashMap<>();
-    catalog.get().forEach(type -> types.put(type.name(), type));
+    Map<String, MachineType> types = types();
     Duration now = loop.now();
     incoming
         .entrySet()
@@ -352,9 +351,14 @@
     return result;
   }
 
-  private List<FleetPlan.Up> up(Duration now) {
+  private Map<String, MachineType> types() {
     Map<String, MachineType> types = new HashMap<>();
     catalog.get().forEach(type -> types.put(type.name(), type));
+    return types;
+  }
+
+  private List<FleetPlan.Up> up(Duration now) {
+    Map<String, MachineType> types = types();
     List<FleetPlan.Up> result = new ArrayList<>();
     for (MachineState machine : fleet.all()) {
       MachineType type = types.get(machine.type);
--- a/src/main/java/io/cherryspool/controller/Workload.java
+++ b/src/main/java/io/cherryspool/controller/Workload.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -110,9 +111,9 @@
     }
     for (JobEntry entry : replica.active()) {
       if (entry.outcome() == null) {
-        int known = proofs.ofJob(entry.job().id()).size();
-        int running = entry.ownedCount() - known;
-        int done = entry.doneCount() + Proofs.done(proofs.ofJob(entry.job().id()).values());
+        Collection<Proofs.Proof> known = proofs.ofJob(entry.job().id()).values();
+        int running = entry.ownedCount() - known.size();
+        int done = entry.doneCount() + Proofs.done(known);
         int waiting = entry.job().tasks() - done - running;
         if (waiting > 0) {
           result.add(new FleetPlan.Load(entry.job(), 0, 0, work(entry.job(), waiting)));
--- a/src/main/java/io/cherryspool/scheduler/FleetPlan.java
+++ b/src/main/java/io/cherryspool/scheduler/FleetPlan.java
@@ -193,14 +193,28 @@
     }
   }
 
-  private void pack(Job job, int tasks) {
+  /** Puts tasks on machines on their way, but of none of these types; returns how many are left. */
+  private int fillIncoming(Job job, int tasks, Set<MachineType> but) {
     int left = tasks;
     for (int i = 0; i < bins.size() && left > 0; i++) {
       Bin bin = bins.get(i);
-      if (allows(job, bin.offer)) {
+      if (!but.contains(bin.offer.type()) && allows(job, bin.offer)) {
         left -= bin.fill(job, left);
       }
     }
+    return left;
+  }
+
+  /** Rents one machine and puts tasks on it; returns how many are left. */
+  private int fillNew(Job job, int tasks, Offer offer) {
+    Bin bin = new Bin(offer);
+    bins.add(bin);
+    rent(offer, 1);
+    return tasks - bin.fill(job, tasks);
+  }
+
+  private void pack(Job job, int tasks) {
+    int left = fillIncoming(job, tasks, Set.of());
     Places places = places(job);
     // Whatever the sums say, work does not wait for machines for good.
     boolean overdue =
@@ -212,10 +226,7 @@
       if (best == null || !overdue && need(places).cpus(dearness(best)) <= have) {
         return;
       }
-      Bin bin = new Bin(best);
-      left -= bin.fill(job, left);
-      bins.add(bin);
-      rent(best, 1);
+      left = fillNew(job, left, best);
       have += best.type().size().cpus();
     }
   }
@@ -245,20 +256,13 @@
       return;
     }
     for (RoundPlan.Unplaced item : view.displacing()) {
-      int left = item.tasks();
-      for (int i = 0; i < bins.size() && left > 0; i++) {
-        Bin bin = bins.get(i);
-        if (!wanted.contains(bin.offer.type()) && allows(item.job(), bin.offer)) {
-          left -= bin.fill(item.job(), left);
+      int left = fillIncoming(item.job(), item.tasks(), wanted);
+      while (left > 0) {
+        Offer best = cheapest(item.job(), wanted);
+        if (best == null) {
+          break;
         }
-      }
-      for (Offer best = cheapest(item.job(), wanted);
-          left > 0 && best != null;
-          best = cheapest(item.job(), wanted)) {
-        Bin bin = new Bin(best);
-        left -= bin.fill(item.job(), left);
-        bins.add(bin);
-        rent(best, 1);
+        left = fillNew(item.job(), left, best);
       }
     }
   }
--- a/src/main/java/io/cherryspool/scheduler/QueueOrder.java
+++ b/src/main/java/io/cherryspool/scheduler/QueueOrder.java
@@ -19,9 +19,9 @@
  * theirs goes before that of teams which borrow.
  *
  * <p>Age keeps this from starving anyone: a job that has not begun at the age of {@code
- * beginWithin} has one task put before everything else, at one and a half times that age a job
- * counts as one priority higher, and a job whose deadlines are all lost is due at three times that
- * age.
+ * beginWithin} has one task put before everything else, at three times that age a job counts as one
+ * priority higher, and a job whose deadlines are all lost is due at four times that age. Sooner,
+ * late jobs would make those late that can still be met.
  */
 final class QueueOrder {
   private static final Comparator<Entry> ORDER =
