--- a/src/main/java/io/cherryspool/http/NettyServer.java
+++ b/src/main/java/io/cherryspool/http/NettyServer.java
@@ -21,6 +21,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -29,17 +30,34 @@
 /**
  * Serves HTTP on the node's loop. Connections are bounded, so that sockets remain for the calls the
  * node makes itself, and a peer that sends nothing complete for a while is dropped.
+ *
+ * <p>There may be more workers than connections, and each is heard of only every few seconds. So
+ * well before the bound, answers ask their peers to close: a peer that is told so comes back when
+ * it has something to say, while one that is turned away would take this node for dead. At the
+ * bound the connection that was unused longest makes way; by then it is most likely a dead peer's.
  */
 public final class NettyServer {
   private static final Logger LOG = LoggerFactory.getLogger(NettyServer.class);
   private static final int MAX_BODY = 64 * 1024;
   private static final Duration QUIET = Duration.ofSeconds(60);
+
+  /** Who connects has something to say; one that has not said it by then never will. */
+  private static final Duration FIRST = Duration.ofSeconds(10);
+
+  /** Connections that wait to be accepted hold sockets as well, so that this can't be large. */
+  private static final int BACKLOG = 256;
+
+  /** From this part of the bound on, answers ask their peers to close. */
+  private static final double CROWDED = 0.875;
+
   private static final byte[] BROKEN =
       "{\"error\":\"internal error\"}".getBytes(StandardCharsets.UTF_8);
 
   private final NettyLoop loop;
   private final Handler handler;
   private final int maxConnections;
+  private final int crowd;
+  private final LinkedHashSet<Connection> unused = new LinkedHashSet<>();
   private int open;
   private Channel listener;
 
@@ -47,6 +65,7 @@
     this.loop = loop;
     this.handler = handler;
     this.maxConnections = maxConnections;
+    this.crowd = (int) (maxConnections * CROWDED);
   }
 
   /** Binds, waiting for the outcome; called once, from outside the loop. */
@@ -55,7 +74,7 @@
         new ServerBootstrap()
             .group(loop.group())
             .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, 256)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
@@ -86,20 +105,38 @@
   /** The routine of one connection. */
   private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
     private long lastNanos = System.nanoTime();
+    private Duration patience = FIRST;
     private boolean counted;
     private boolean answering;
+    private Channel channel;
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
+      channel = ctx.channel();
+      if (open >= maxConnections && !unused.isEmpty()) {
+        Connection oldest = unused.iterator().next();
+        oldest.leave();
+        oldest.channel.close();
+      }
       if (open >= maxConnections) {
         ctx.close();
         return;
       }
       open++;
       counted = true;
+      unused.add(this);
       watch(ctx);
     }
 
+    /** Not counted any more, whether or not the socket is closed yet. */
+    private void leave() {
+      unused.remove(this);
+      if (counted) {
+        counted = false;
+        open--;
+      }
+    }
+
     private void watch(ChannelHandlerContext ctx) {
       ctx.executor()
           .schedule(
@@ -107,27 +144,25 @@
                 if (!ctx.channel().isActive()) {
                   return;
                 }
-                if (!answering && System.nanoTime() - lastNanos > QUIET.toNanos()) {
+                if (!answering && System.nanoTime() - lastNanos > patience.toNanos()) {
                   ctx.close();
                 } else {
                   watch(ctx);
                 }
               },
-              QUIET.toMillis() / 4,
+              FIRST.toMillis(),
               TimeUnit.MILLISECONDS);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-      if (counted) {
-        counted = false;
-        open--;
-      }
+      leave();
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
       lastNanos = System.nanoTime();
+      patience = QUIET;
       if (message.decoderResult().isFailure()) {
         write(
             ctx,
@@ -140,15 +175,22 @@
           new Request(
               message.method().name(), message.uri(), ByteBufUtil.getBytes(message.content()));
       answering = true;
+      unused.remove(this);
       handle(request)
           .whenComplete(
               (reply, failure) -> {
                 answering = false;
                 lastNanos = System.nanoTime();
+                if (counted) {
+                  unused.add(this);
+                }
                 if (failure != null) {
                   LOG.error("answering {} {} failed", request.method(), request.path(), failure);
                 }
-                write(ctx, keep, failure == null ? reply : Reply.retry(503, BROKEN, 1));
+                write(
+                    ctx,
+                    keep && open <= crowd,
+                    failure == null ? reply : Reply.retry(503, BROKEN, 1));
               });
     }
 
