Let a leader that its workers do not reach make way for a node that they do

Ruled out: a relay of reports over the mesh, which doubles the cost of each report and leaves direct calls dead; a shorter state lease, since the leader reached the state service all along.

Now nodes tell how many workers keep coming to them though sent on. A leader that misses a sixth of its machines, while the others hear about as many, writes down an heir and ends its lease. The record only sets who stands first.

--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -43,6 +43,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
   private static final String JOBS = "/api/jobs";
   private static final String CANCEL = "/withdraw";
+  private static final int WORDS_PER_LEASE = 8;
 
   private final EventLoop loop;
   private final Settings settings;
@@ -53,6 +54,8 @@
   private final Supplier<String> metrics;
   private final Map<String, Team> teams = new HashMap<>();
   private final Map<String, Duration> peersWithState = new HashMap<>();
+  private final Strays strays = new Strays();
+  private final Succession succession;
   private final StateClient state;
   private final Budget budget;
   private final Replica replica;
@@ -87,6 +90,7 @@
     settings.teams().forEach(team -> teams.put(team.name(), team));
     Settings.StateLimits limits = settings.stateLimits();
     int nodes = settings.peers().size() + 1;
+    succession = new Succession(timings, timings.stateLease().dividedBy(WORDS_PER_LEASE));
     state = new StateClient(given.transport(), settings.state(), timings.stateCall());
     budget = new Budget(loop, nodes, limits.rps(), limits.writeRps());
     Duration refreshGap = Duration.ofNanos((long) (2e9 * nodes / limits.rps()));
@@ -158,6 +162,7 @@
   public void heard(Mesh.Word word) {
     election.hear(word.term());
     lastWord = loop.now();
+    succession.heard(word, lastWord);
     if (word.state()) {
       peersWithState.put(word.node(), loop.now());
     } else {
@@ -166,8 +171,22 @@
   }
 
   private void tick() {
-    timer = loop.schedule(timings.stateLease().dividedBy(8), this::tick);
-    mesh.tell(new Mesh.Word(settings.name(), replica.term(), reachesState()));
+    timer = loop.schedule(timings.stateLease().dividedBy(WORDS_PER_LEASE), this::tick);
+    Duration now = loop.now();
+    mesh.tell(new Mesh.Word(settings.name(), replica.term(), reachesState(), strays.count(now)));
+    succession.tick(now);
+    if (reign != null) {
+      Reign.Reach reach = reign.reach(succession.late());
+      String heir = succession.heir(reach, reign.started(), now);
+      if (heir != null) {
+        LOG.info(
+            "{} of {} machines do not reach this node and come to {}, which is to lead",
+            reach.lost(),
+            reach.known(),
+            heir);
+        election.yieldTo(heir);
+      }
+    }
   }
 
   private boolean reachesState() {
@@ -291,6 +310,9 @@
     }
     Records.Leader leader = replica.leader();
     boolean other = leader != null && !leader.node().equals(settings.name()) && reachesState();
+    if (other) {
+      strays.note(report.machine(), loop.now());
+    }
     return Reply.json(421, WorkerWire.redirect(other ? leader.node() : null));
   }
 
--- a/src/main/java/io/cherryspool/controller/Election.java
+++ b/src/main/java/io/cherryspool/controller/Election.java
@@ -37,6 +37,7 @@
   private boolean renewing;
   private boolean standing;
   private long heardTerm;
+  private boolean yielding;
   private Runnable onChange = () -> {};
   private EventLoop.Timer timer;
   private EventLoop.Timer candidacy;
@@ -128,6 +129,43 @@
     return since != null && loop.now().minus(since).compareTo(limit) < 0;
   }
 
+  /**
+   * Makes way for a node that workers reach better. The record only sets the order in which the
+   * nodes stand, and whoever stands first is elected as ever. The lease ends whatever comes of it.
+   */
+  public void yieldTo(String heir) {
+    if (!leading() || yielding) {
+      return;
+    }
+    yielding = true;
+    long held = lease;
+    Records.Heir record = new Records.Heir(replica.term(), heir, node);
+    budget.force(1);
+    client
+        .commit(
+            Map.of(Records.TERM, replica.termVersion()),
+            List.of(new StateWire.Change(Records.HEIR, Records.heir(record), 0)))
+        .whenComplete(
+            (result, failure) -> {
+              yielding = false;
+              if (lease == held) {
+                lease = 0;
+                onChange.run();
+                budget.force(0);
+                client.end(held).exceptionally(again -> null);
+              }
+            });
+  }
+
+  /** How long to wait before standing: the heir first, and who made way for it last. */
+  private Duration reserve() {
+    Records.Heir heir = replica.heir();
+    if (heir == null || heir.node().equals(node)) {
+      return Duration.ZERO;
+    }
+    return timings.stateLease().dividedBy(heir.by().equals(node) ? 1 : 4);
+  }
+
   private void tick() {
     timer = loop.schedule(timings.stateLease().dividedBy(4), this::tick);
     if (!renewing) {
@@ -188,7 +226,7 @@
     Records.Leader leader = replica.leader();
     if (leader == null) {
       long wait = random.nextLong(Math.max(1, timings.stateLease().toMillis() / 20));
-      candidacy = loop.schedule(Duration.ofMillis(wait), this::stand);
+      candidacy = loop.schedule(reserve().plusMillis(wait), this::stand);
     } else if (leader.node().equals(node) && !leader.instance().equals(instance)) {
       // The process that held this lease has ended, since this one runs in its place.
       LOG.info("ending lease {} of an earlier process of this node", leader.lease());
--- a/src/main/java/io/cherryspool/controller/Reign.java
+++ b/src/main/java/io/cherryspool/controller/Reign.java
@@ -196,6 +196,28 @@
     return term;
   }
 
+  Duration started() {
+    return started;
+  }
+
+  /** The machines that have sent no report for so long, of those that live as far as is known. */
+  Reach reach(Duration late) {
+    Duration now = loop.now();
+    int known = 0;
+    int lost = 0;
+    for (MachineState machine : fleet.all()) {
+      if (!machine.gone && machine.latest != null) {
+        Duration last = machine.answered == null ? started : machine.answered;
+        known++;
+        lost += now.minus(last).compareTo(late) > 0 ? 1 : 0;
+      }
+    }
+    return new Reach(known, lost);
+  }
+
+  /** How many machines there are, and how many of them have not reported lately. */
+  record Reach(int known, int lost) {}
+
   Fleet fleet() {
     return fleet;
   }
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/Succession.java
@@ -0,0 +1,76 @@
+package io.cherryspool.controller;
+
+import io.cherryspool.mesh.Mesh;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Tells when a leader should make way. One that loses its workers, but neither the state service
+ * nor the other nodes, would stay leader while its workers go round the nodes, are sent back to it
+ * each time, and lose all their tasks when their leases run out. The others hear those workers, and
+ * say so.
+ *
+ * <p>Both must agree: many machines have stopped reporting here, and about as many come to the
+ * others. Machines that died, hang or are cut off with their zone come to nobody.
+ */
+final class Succession {
+  /** Fewer than these, or a smaller part of the fleet, are worth no change of the leader. */
+  private static final int LEAST = 3;
+
+  private static final int PART = 6;
+
+  private final Timings timings;
+  private final Duration period;
+  private final Map<String, Said> words = new HashMap<>();
+  private Duration lastTick;
+  private Duration steadySince = Duration.ZERO;
+
+  private record Said(Mesh.Word word, Duration at) {}
+
+  /**
+   * @param period how often the nodes tell one another
+   */
+  Succession(Timings timings, Duration period) {
+    this.timings = timings;
+    this.period = period;
+  }
+
+  void heard(Mesh.Word word, Duration now) {
+    words.put(word.node(), new Said(word, now));
+  }
+
+  /** Reports that were late because this node stood still, or is behind, are nobody's absence. */
+  void tick(Duration now) {
+    if (lastTick == null || now.minus(lastTick).compareTo(period.multipliedBy(2)) > 0) {
+      steadySince = now;
+    }
+    lastTick = now;
+  }
+
+  /** Since when a machine must not have reported to count as lost: a report and its deviation. */
+  Duration late() {
+    return timings.report().multipliedBy(5).dividedBy(4).plusSeconds(1);
+  }
+
+  /** The node to make way for, or null. */
+  String heir(Reign.Reach reach, Duration leadingSince, Duration now) {
+    Duration calm = late().multipliedBy(2);
+    if (reach.lost() < LEAST
+        || reach.lost() * PART < reach.known()
+        || now.minus(leadingSince).compareTo(calm) < 0
+        || now.minus(steadySince).compareTo(calm) < 0) {
+      return null;
+    }
+    Said best = null;
+    int strays = 0;
+    for (Said said : words.values()) {
+      boolean fresh = now.minus(said.at).compareTo(period.multipliedBy(3)) < 0;
+      if (fresh && said.word.state() && said.word.strays() > 0) {
+        strays += said.word.strays();
+        best = best == null || said.word.strays() > best.word.strays() ? said : best;
+      }
+    }
+    return strays * 2 >= reach.lost() && best != null ? best.word.node() : null;
+  }
+}
--- a/src/main/java/io/cherryspool/mesh/Mesh.java
+++ b/src/main/java/io/cherryspool/mesh/Mesh.java
@@ -4,8 +4,14 @@
 @FunctionalInterface
 public interface Mesh {
 
-  /** What a node tells the others: its name, the term it knows, and if it reaches the state. */
-  record Word(String node, long term, boolean state) {}
+  /**
+   * What a node tells the others.
+   *
+   * @param term the highest term it knows
+   * @param state whether it reaches the state service
+   * @param strays how many workers have lately come to it although it told them who leads
+   */
+  record Word(String node, long term, boolean state, int strays) {}
 
   void tell(Word word);
 }
--- a/src/main/java/io/cherryspool/mesh/NettyMesh.java
+++ b/src/main/java/io/cherryspool/mesh/NettyMesh.java
@@ -38,7 +38,7 @@
 public final class NettyMesh implements Mesh, Duty {
   private static final Logger LOG = LoggerFactory.getLogger(NettyMesh.class);
   private static final int MAX_FRAME = 4096;
-  private static final int FIELDS = 3;
+  private static final int FIELDS = 4;
   private static final int CONNECT_MS = 1000;
   private static final int QUIET_S = 30;
   private static final int MAX_UNSENT = 16 * 1024;
@@ -141,6 +141,7 @@
       packer.packString(word.node());
       packer.packLong(word.term());
       packer.packBoolean(word.state());
+      packer.packInt(word.strays());
       return packer.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("packing into memory", e);
@@ -153,7 +154,11 @@
       if (unpacker.unpackArrayHeader() < FIELDS) {
         throw new IOException("a word that is too short");
       }
-      return new Word(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackBoolean());
+      return new Word(
+          unpacker.unpackString(),
+          unpacker.unpackLong(),
+          unpacker.unpackBoolean(),
+          unpacker.unpackInt());
     }
   }
 
--- a/src/main/java/io/cherryspool/store/Records.java
+++ b/src/main/java/io/cherryspool/store/Records.java
@@ -17,6 +17,7 @@
   public static final String PREFIX = "c/";
   public static final String TERM = "c/term";
   public static final String LEADER = "c/leader";
+  public static final String HEIR = "c/heir";
   public static final String CATALOG = "c/catalog";
   static final String JOBS = "c/jobs/";
   static final String OUTCOMES = "c/outcomes/";
@@ -30,6 +31,9 @@
   /** Who leads: the process, not only the node, since a restarted node is another process. */
   public record Leader(long term, String node, String instance, long lease) {}
 
+  /** Whom the leader of the term has made way for, and who that leader was. */
+  public record Heir(long term, String node, String by) {}
+
   public static String job(String id) {
     return JOBS + id;
   }
@@ -71,6 +75,15 @@
         node.path("lease").longValue());
   }
 
+  public static JsonNode heir(Heir heir) {
+    return Json.object().put("term", heir.term()).put("node", heir.node()).put("by", heir.by());
+  }
+
+  static Heir readHeir(JsonNode node) {
+    return new Heir(
+        node.path("term").longValue(), node.path("node").asText(), node.path("by").asText());
+  }
+
   public static JsonNode job(Job job, int tasksPerShard) {
     ObjectNode node = Json.object();
     node.set("job", JobWire.encode(job));
--- a/src/main/java/io/cherryspool/store/Replica.java
+++ b/src/main/java/io/cherryspool/store/Replica.java
@@ -48,6 +48,7 @@
   private long term;
   private long termVersion;
   private Records.Leader leader;
+  private Records.Heir heir;
   private List<MachineType> catalog;
   private long catalogVersion;
 
@@ -156,6 +157,11 @@
     return leader;
   }
 
+  /** Whom the last leader of this term made way for; null if it did not. */
+  public Records.Heir heir() {
+    return heir != null && heir.term() == term ? heir : null;
+  }
+
   /** The machine types as some leader last wrote them, or null. */
   public List<MachineType> catalog() {
     return catalog;
@@ -362,6 +368,7 @@
     term = 0;
     termVersion = 0;
     leader = null;
+    heir = null;
     catalog = null;
     catalogVersion = 0;
     Set<String> later = new HashSet<>();
@@ -396,6 +403,8 @@
       termVersion = value == null ? 0 : event.version();
     } else if (key.equals(Records.LEADER)) {
       leader = value == null ? null : Records.readLeader(value);
+    } else if (key.equals(Records.HEIR)) {
+      heir = value == null ? null : Records.readHeir(value);
     } else if (key.equals(Records.CATALOG) && value != null) {
       setCatalog(value, event.version());
     }
--- /dev/null
+++ b/src/test/java/io/cherryspool/controller/SuccessionTest.java
@@ -0,0 +1,77 @@
+package io.cherryspool.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import io.cherryspool.mesh.Mesh;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+/** When a leader makes way, and when it must not. */
+class SuccessionTest {
+  private static final Duration PERIOD = Duration.ofMillis(500);
+  private static final Duration START = Duration.ofSeconds(100);
+
+  private final Timings timings =
+      new Timings(
+          Duration.ofSeconds(4),
+          Duration.ofSeconds(12),
+          Duration.ofSeconds(22),
+          Duration.ofSeconds(4),
+          Duration.ofSeconds(1),
+          Duration.ofSeconds(2),
+          Duration.ofSeconds(5));
+  private final Succession succession = new Succession(timings, PERIOD);
+  private Duration now = START;
+
+  private String after(double seconds, int known, int lost, Mesh.Word... words) {
+    Duration end = now.plusMillis((long) (seconds * 1000));
+    for (; now.compareTo(end) < 0; now = now.plus(PERIOD)) {
+      succession.tick(now);
+      for (Mesh.Word word : words) {
+        succession.heard(word, now);
+      }
+    }
+    return succession.heir(new Reign.Reach(known, lost), START, now);
+  }
+
+  private static Mesh.Word says(String node, boolean state, int strays) {
+    return new Mesh.Word(node, 7, state, strays);
+  }
+
+  @Test
+  void theNodeThatHearsMostOfTheLostOnesIsTheHeir() {
+    assertEquals("b", after(20, 900, 850, says("a", true, 430), says("b", true, 600)));
+    assertEquals("a", after(1, 900, 850, says("a", true, 430), says("b", false, 600)));
+    assertEquals("b", after(1, 900, 850, says("a", true, 210), says("b", true, 230)), "together");
+  }
+
+  @Test
+  void deadMachinesAndPassingCallersAreNoReason() {
+    assertNull(after(20, 900, 300, says("a", true, 4)), "a zone is cut off or dead");
+    assertNull(after(1, 900, 12, says("a", true, 300)), "workers on their way to the new leader");
+    assertNull(after(1, 900, 0, says("a", true, 0)));
+  }
+
+  /** What waited in the sockets of a node that stood still is not read yet. */
+  @Test
+  void aNodeThatStoodStillOrLeadsOnlyNowLetsItsWorkersComeFirst() {
+    Mesh.Word word = says("a", true, 800);
+    assertNull(after(3, 900, 850, word), "it has led for 3 s");
+    assertEquals("a", after(20, 900, 850, word));
+    now = now.plusSeconds(9);
+    assertNull(after(1, 900, 850, word));
+    assertEquals("a", after(20, 900, 850, word));
+  }
+
+  @Test
+  void aWorkerCountsAsStrayWhileItKeepsComing() {
+    Strays strays = new Strays();
+    strays.note("host-1", START);
+    strays.note("host-2", START.plusSeconds(5));
+    strays.note("host-1", START.plusSeconds(6));
+    assertEquals(2, strays.count(START.plusSeconds(6)));
+    assertEquals(1, strays.count(START.plusSeconds(12)));
+    assertEquals(0, strays.count(START.plusSeconds(60)));
+  }
+}
--- a/src/test/java/io/cherryspool/sim/Simulation.java
+++ b/src/test/java/io/cherryspool/sim/Simulation.java
@@ -179,6 +179,10 @@
       }
     }
 
+    String name() {
+      return "node-" + index;
+    }
+
     boolean leads() {
       return controller != null && controller.leads();
     }
@@ -268,6 +272,34 @@
     return rules.starts();
   }
 
+  /** Plays on with arriving work and no troubles but those that the caller makes. */
+  void playQuietly(double seconds) {
+    if (troubleEnd == 0) {
+      troubleEnd = Double.MAX_VALUE;
+      after(1, this::arrive);
+    }
+    run(time.seconds() + seconds);
+  }
+
+  /** Cuts the leader off from all machines, and from nothing else; returns its name. */
+  String cutLeaderFromWorkers(Duration length) {
+    Node leader = nodes.stream().filter(Node::leads).findFirst().orElseThrow();
+    workers
+        .values()
+        .forEach(worker -> net.cut(leader.address.host(), worker.machine().host, length));
+    return leader.name();
+  }
+
+  /** Who leads, or null. */
+  String leader() {
+    return nodes.stream().filter(Node::leads).map(Node::name).findFirst().orElse(null);
+  }
+
+  /** How often a worker's lease ran out, over all machines that live. */
+  long leasesLost() {
+    return workers.values().stream().mapToLong(worker -> worker.session() - 1).sum();
+  }
+
   private void run(double end) {
     Duration until = Duration.ofMillis((long) (end * 1000));
     while (time.step(until)) {
--- a/src/test/java/io/cherryspool/sim/StandInWorker.java
+++ b/src/test/java/io/cherryspool/sim/StandInWorker.java
@@ -97,6 +97,10 @@
     later(Duration.ZERO, this::checkLease);
   }
 
+  long session() {
+    return session;
+  }
+
   StandInCloud.Machine machine() {
     return machine;
   }
