Ask late machines that own tasks, and give mute ones up after two reports' time

Cause: tasks of dead and hung machines waited for three reports and 2 s; a recount due after 33 s that lost a task is late by that alone. A late machine with tasks is now asked once; if it stays mute, its deletion waits for two reports and not three. Idle ones keep the longer time, since some go on. A zone counts as cut when a third of it is late (more than half is, when the first could be deleted), so that up to a third may die together and be replaced at once. The time in which the leader itself stood still is nobody's silence. Test: DeadMachineTest, which fails without the question.

--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -176,7 +176,7 @@
     mesh.tell(new Mesh.Word(settings.name(), replica.term(), reachesState(), strays.count(now)));
     succession.tick(now);
     if (reign != null) {
-      Reign.Reach reach = reign.reach(succession.late());
+      Reign.Reach reach = reign.reach();
       String heir = succession.heir(reach, reign.started(), now);
       if (heir != null) {
         LOG.info(
--- a/src/main/java/io/cherryspool/controller/MachineState.java
+++ b/src/main/java/io/cherryspool/controller/MachineState.java
@@ -24,6 +24,12 @@
 
   Duration heard;
 
+  /** What {@link #heard} was when the machine was last asked for its state, null before that. */
+  Duration probed;
+
+  /** It has not answered when asked, and nothing was heard of it since. */
+  boolean mute;
+
   /**
    * When this leader first heard of the present session. A session lives for a lease from its start
    * even if none of its reports is answered, and it began before it was heard of.
@@ -101,6 +107,7 @@
     }
     latest = report;
     heard = now;
+    mute = false;
     view = null;
     if (report.token() >= toldToken) {
       unheeded = 0;
--- a/src/main/java/io/cherryspool/controller/Reign.java
+++ b/src/main/java/io/cherryspool/controller/Reign.java
@@ -19,6 +19,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongConsumer;
@@ -200,8 +201,8 @@
     return started;
   }
 
-  /** The machines that have sent no report for so long, of those that live as far as is known. */
-  Reach reach(Duration late) {
+  /** The machines whose reports are late, of those that live as far as is known. */
+  Reach reach() {
     Duration now = loop.now();
     int known = 0;
     int lost = 0;
@@ -209,7 +210,7 @@
       if (!machine.gone && machine.latest != null) {
         Duration last = machine.answered == null ? started : machine.answered;
         known++;
-        lost += now.minus(last).compareTo(late) > 0 ? 1 : 0;
+        lost += now.minus(last).compareTo(timings.late()) > 0 ? 1 : 0;
       }
     }
     return new Reach(known, lost);
@@ -335,7 +336,9 @@
 
   private void tick() {
     timer = loop.schedule(Duration.ofMillis(placing ? 250 : 100), this::tick);
-    if (!placing) {
+    if (placing) {
+      probeLate();
+    } else {
       checkRebuilt();
     }
     pushAll();
@@ -379,24 +382,52 @@
     inspectNext();
   }
 
+  /**
+   * Calls machines that own tasks and are late, once in each silence: a dead or hung one is known
+   * in half the time that its reports alone would take, and a live one whose reports go astray is
+   * not taken for dead.
+   */
+  private void probeLate() {
+    Duration now = loop.now();
+    for (String name : ownership.machines()) {
+      MachineState machine = fleet.get(name);
+      if (machine != null
+          && !machine.gone
+          && machine.endpoint != null
+          && machine.heard != null
+          && !machine.heard.equals(machine.probed)
+          && now.minus(machine.heard).compareTo(timings.late()) > 0) {
+        machine.probed = machine.heard;
+        toInspect.add(name);
+      }
+    }
+    inspectNext();
+  }
+
   /** A few at a time: a thousand calls at once would take all sockets, and all of the processor. */
   private void inspectNext() {
     while (inspecting < MAX_INSPECTING && !toInspect.isEmpty() && !stopped) {
       Iterator<String> first = toInspect.iterator();
       MachineState machine = fleet.get(first.next());
       first.remove();
-      if (machine == null || machine.gone || machine.heard != null) {
+      if (machine == null || machine.gone || !Objects.equals(machine.heard, machine.probed)) {
         continue;
       }
       inspecting++;
+      Duration asked = loop.now();
       workers
           .inspect(machine.endpoint)
           .whenComplete(
               (report, failure) -> {
                 inspecting--;
+                Duration took = loop.now().minus(asked);
                 if (failure == null && !stopped) {
                   ingest(report);
                   fence(machine);
+                } else if (Objects.equals(machine.heard, machine.probed)
+                    && took.compareTo(timings.workerCall().dividedBy(2)) > 0) {
+                  // A call that fails at once found no socket, which says nothing of the machine.
+                  machine.mute = true;
                 }
                 inspectNext();
               });
--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Rental.java
@@ -28,6 +28,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Rental.class);
   private static final int MOST_PER_REQUEST = 50;
   private static final int MOST_PER_DELETE = 100;
+  private static final Duration STANDSTILL = Duration.ofMillis(1500);
   private static final Duration SOLD_OUT = Duration.ofSeconds(15);
 
   private final EventLoop loop;
@@ -52,6 +53,8 @@
   private int counter;
   private boolean busy;
   private boolean listRead;
+  private Duration lastStep;
+  private Duration listening = Duration.ZERO;
   private Duration listSince;
   private EventLoop.Timer timer;
 
@@ -108,6 +111,7 @@
 
   private void step() {
     timer = loop.schedule(gap, this::step);
+    notice(loop.now());
     // A leader that is cut off would take workers that went over to its successor for silent ones,
     // and delete their machines.
     if (busy || !sole.getAsBoolean()) {
@@ -132,6 +136,17 @@
     }
   }
 
+  /**
+   * The time in which this node did not run, or fell far behind, is no machine's silence: what came
+   * meanwhile waits in its sockets.
+   */
+  private void notice(Duration now) {
+    if (lastStep == null || now.minus(lastStep).compareTo(gap.plus(STANDSTILL)) > 0) {
+      listening = now;
+    }
+    lastStep = now;
+  }
+
   private void readList(String after, Map<String, Rented> found) {
     busy = true;
     cloud
@@ -181,7 +196,7 @@
     }
     Duration usual = timings.report().multipliedBy(3).plusSeconds(2);
     // Late comes well before silent, or the first machines of a cut zone would be deleted singly.
-    Duration late = timings.report().multipliedBy(2).plusSeconds(1);
+    Duration late = timings.late();
     Set<String> cutZones = cutZones(fleet.all(), list.keySet(), now, late);
     for (MachineState machine : fleet.all()) {
       if (machine.gone) {
@@ -196,7 +211,10 @@
       boolean cut = list.containsKey(machine.name) && cutZones.contains(machine.zone);
       Duration patience = cut ? timings.lapse().multipliedBy(2) : usual;
       Duration silent = silent(machine, now);
-      if (silent.compareTo(patience) > 0) {
+      if (!cut && !idle && machine.mute) {
+        patience = timings.report().multipliedBy(2);
+      }
+      if (silent.compareTo(patience) > 0 && now.minus(listening).compareTo(patience) > 0) {
         doom(machine.name, "it has been silent for " + silent.toSeconds() + " s");
       } else if (deaf(machine, now, cut ? patience : idle ? usual : timings.lapse())) {
         doom(machine.name, "it reports and does not take in what it is told");
@@ -217,9 +235,11 @@
   }
 
   /**
-   * Zones in which many machines that the cloud still lists fell silent or deaf at once are rather
-   * cut off than dead, and so is this node where its reports come late: the machines may be running
-   * their tasks well. Those that the cloud no longer lists were taken back.
+   * Zones in which a third of the machines that the cloud still lists fell silent or deaf at once
+   * are rather cut off than dead, and so is this node where its reports come late: the machines may
+   * be running their tasks well. Of a zone that is cut more than half are late when the first of
+   * them have been silent for two reports; machines that die or hang together are a smaller part of
+   * it. Those that the cloud no longer lists were taken back.
    */
   static Set<String> cutZones(
       Collection<MachineState> fleet, Set<String> listed, Duration now, Duration late) {
@@ -236,7 +256,7 @@
     all.forEach(
         (zone, count) -> {
           int lost = bad.get(zone);
-          if (lost > 1 && lost * 3 > count || lost > 2 && lost * 6 > count) {
+          if (lost > 1 && lost * 3 > count) {
             result.add(zone);
           }
         });
--- a/src/main/java/io/cherryspool/controller/RoundView.java
+++ b/src/main/java/io/cherryspool/controller/RoundView.java
@@ -175,6 +175,7 @@
     return machine.latest != null
         && !machine.gone
         && !machine.deleting
+        && !machine.mute
         && machine.unheeded == 0
         && machine.latest.notice() == null
         && machine.failuresInARow < Rental.SICK
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -62,6 +62,7 @@
   private boolean placing;
   private boolean underWay;
   private boolean wanted;
+  private boolean stopped;
   private Duration lastRun = Duration.ZERO;
   private Duration lastCost = Duration.ZERO;
   private EventLoop.Timer timer;
@@ -126,6 +127,8 @@
 
   @Override
   public void stop() {
+    // A reading under way may come back long after, and must not begin a round of a past term.
+    stopped = true;
     writer.stop();
     if (timer != null) {
       timer.cancel();
@@ -144,7 +147,7 @@
   /** Something happened that a round should take in. */
   void request() {
     wanted = true;
-    if (timer == null && !underWay) {
+    if (timer == null && !underWay && !stopped) {
       Duration pause = lastRun.plus(lastCost.multipliedBy(COST_SHARE)).minus(loop.now());
       timer = loop.schedule(pause.compareTo(GATHER) > 0 ? pause : GATHER, this::run);
     }
@@ -238,6 +241,9 @@
         .refresh()
         .whenComplete(
             (nothing, failure) -> {
+              if (stopped) {
+                return;
+              }
               if (failure != null) {
                 loop.schedule(SPENT, this::settled);
                 return;
--- a/src/main/java/io/cherryspool/controller/Succession.java
+++ b/src/main/java/io/cherryspool/controller/Succession.java
@@ -48,14 +48,9 @@
     lastTick = now;
   }
 
-  /** Since when a machine must not have reported to count as lost: a report and its deviation. */
-  Duration late() {
-    return timings.report().multipliedBy(5).dividedBy(4).plusSeconds(1);
-  }
-
   /** The node to make way for, or null. */
   String heir(Reign.Reach reach, Duration leadingSince, Duration now) {
-    Duration calm = late().multipliedBy(2);
+    Duration calm = timings.late().multipliedBy(2);
     if (reach.lost() < LEAST
         || reach.lost() * PART < reach.known()
         || now.minus(leadingSince).compareTo(calm) < 0
--- a/src/main/java/io/cherryspool/controller/Timings.java
+++ b/src/main/java/io/cherryspool/controller/Timings.java
@@ -22,6 +22,11 @@
     Duration workerCall,
     Duration cloudCall) {
 
+  /** After so long without a report a worker is late, whatever the deviation of its reports. */
+  Duration late() {
+    return report.multipliedBy(5).dividedBy(4).plusMillis(250);
+  }
+
   public static Timings of(Settings settings, OperatorSettings operators) {
     Duration lease = settings.workerLease();
     Duration margin = settings.cancelWithin().dividedBy(20).plusSeconds(1);
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/DeadMachineTest.java
@@ -0,0 +1,25 @@
+package io.cherryspool.sim;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * The tasks of dead machines waited for three reports' time and more, and short urgent jobs lost
+ * their deadlines by that alone.
+ */
+class DeadMachineTest {
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void aMachineThatDoesNotAnswerWhenAskedIsGivenUpSoon(long seed) {
+    Simulation simulation = new Simulation(seed);
+    simulation.playQuietly(60);
+    String machine = simulation.killBusiestMachine();
+    simulation.playQuietly(1);
+    assertTrue(simulation.rented(machine));
+    simulation.playQuietly(5.8);
+    assertFalse(simulation.rented(machine));
+  }
+}
--- a/src/test/java/io/cherryspool/sim/Simulation.java
+++ b/src/test/java/io/cherryspool/sim/Simulation.java
@@ -21,6 +21,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -290,6 +291,20 @@
     return leader.name();
   }
 
+  /** Stops the machine with most tasks, which the cloud does not say for a while. */
+  String killBusiestMachine() {
+    StandInWorker victim =
+        workers.values().stream()
+            .max(Comparator.comparingInt(worker -> worker.onMachine().size()))
+            .orElseThrow();
+    victim.die();
+    return victim.machine().name;
+  }
+
+  boolean rented(String machine) {
+    return cloud.up().stream().anyMatch(item -> item.name.equals(machine));
+  }
+
   /** Who leads, or null. */
   String leader() {
     return nodes.stream().filter(Node::leads).map(Node::name).findFirst().orElse(null);
