--- a/src/main/java/io/cherryspool/scheduler/Preemption.java
+++ b/src/main/java/io/cherryspool/scheduler/Preemption.java
@@ -122,7 +122,7 @@
   private void offer(PriorityQueue<Choice> choices, Room room, Job job) {
     List<RunningTask> victims = victims(room, job);
     if (victims != null) {
-      double loss = room.machine.images().contains(job.image()) ? 0 : 1;
+      double loss = fetching(room.machine, job);
       for (RunningTask victim : victims) {
         loss += loss(victim);
       }
@@ -130,6 +130,15 @@
     }
   }
 
+  /** Core-seconds that its task would wait for its image; it may be far longer than it runs. */
+  private static double fetching(MachineView machine, Job job) {
+    if (machine.images().contains(job.image())) {
+      return 0;
+    }
+    double rate = Math.max(0.001, machine.type().fetchGbPerS());
+    return 1 + job.imageGb() / rate * job.perTask().cpus();
+  }
+
   /** The tasks whose stopping lets the job's task in; null if none would. */
   private List<RunningTask> victims(Room room, Job job) {
     if (job.perTask().fitsIn(room.free)) {
--- a/src/test/java/io/cherryspool/scheduler/PlacementTest.java
+++ b/src/test/java/io/cherryspool/scheduler/PlacementTest.java
@@ -113,6 +113,39 @@
         "stopping all lower work would still not make room");
   }
 
+  /**
+   * Urgent tasks were put where stopping lost a little less, and then fetched their image for as
+   * long as they run.
+   */
+  @Test
+  void roomIsMadeWhereTheImageIs() {
+    Job high = job("req-000002", Priority.HIGH, 1, 8);
+    List<MachineView> machines = new ArrayList<>();
+    for (String image : List.of("img", "other")) {
+      Job normal = job("req-00001" + machines.size(), Priority.NORMAL, 2, 8);
+      Duration since = Duration.ofSeconds(90 + machines.size());
+      List<RunningTask> running =
+          List.of(
+              new RunningTask(new TaskId(normal.id(), 0), normal, since, false),
+              new RunningTask(new TaskId(normal.id(), 1), normal, since, false));
+      machines.add(
+          new MachineView(
+              "with-" + image,
+              LARGE,
+              "a",
+              false,
+              true,
+              false,
+              Resources.NONE,
+              Set.of(image),
+              Set.of(),
+              running));
+    }
+    RoundPlan plan = plan(List.of(free(high)), machines, new Team("red", 0, 0, 0, 0));
+    assertEquals(
+        List.of("req-000010"), plan.stops().stream().map(stop -> stop.task().job()).toList());
+  }
+
   /** An urgent job once waited for its own team's long tasks, which filled the team's limit. */
   @Test
   void aTeamsLowerWorkGivesWayAtTheTeamsLimit() {
