--- a/src/main/java/io/cherryspool/config/Settings.java
+++ b/src/main/java/io/cherryspool/config/Settings.java
@@ -36,6 +36,8 @@
     double cloudRps,
     Duration listLag,
     int fdLimit) {
+  /** Calls, the mesh, files and a few workers and users need so many. */
+  private static final int MIN_SOCKETS = 64;
 
   /** Another controller node. */
   public record Peer(String name, Endpoint endpoint) {}
@@ -90,6 +92,16 @@
       throw new ConfigException(
           origin + ": facts.workers.cancel_s must be longer than facts.workers.lease_s");
     }
+    Duration report = workers.seconds("report_s");
+    if (lease.compareTo(report.multipliedBy(2)) < 0) {
+      throw new ConfigException(
+          origin + ": facts.workers.lease_s must be at least twice facts.workers.report_s");
+    }
+    int sockets = (int) facts.object("resources").positive("fd_limit");
+    if (sockets < MIN_SOCKETS) {
+      throw new ConfigException(
+          origin + ": facts.resources.fd_limit must be at least " + MIN_SOCKETS);
+    }
     return new Settings(
         top.text("host_name"),
         top.text("site"),
@@ -100,7 +112,7 @@
         services.endpoint("state"),
         List.copyOf(teams),
         deadlineTimes,
-        workers.seconds("report_s"),
+        report,
         lease,
         cancel,
         new StateLimits(
@@ -110,7 +122,7 @@
             (int) state.positive("txn_ops")),
         cloud.positive("rps"),
         cloud.seconds("list_lag_s"),
-        (int) facts.object("resources").positive("fd_limit"));
+        sockets);
   }
 
   private static String firstLine(IOException e) {
--- a/src/test/java/io/cherryspool/config/ConfigTest.java
+++ b/src/test/java/io/cherryspool/config/ConfigTest.java
@@ -64,6 +64,23 @@
     assertTrue(e.getMessage().startsWith("file.json"), e.getMessage());
   }
 
+  @ParameterizedTest
+  @CsvSource({
+    "facts/workers,lease_s,4.9",
+    "facts/workers,cancel_s,16.0",
+    "facts/resources,fd_limit,63",
+    "facts/state,rps,0",
+    "facts/state,write_rps,-1"
+  })
+  void namesTheFieldThatIsTooSmallToRunWith(String parent, String field, double value)
+      throws Exception {
+    ObjectNode root = good();
+    ((ObjectNode) root.at("/" + parent)).put(field, value);
+    ConfigException e =
+        assertThrows(ConfigException.class, () -> Settings.parse(root, "file.json"));
+    assertTrue(e.getMessage().contains(parent.replace('/', '.') + "." + field), e.getMessage());
+  }
+
   @Test
   void operatorsSettingsAreCheckedAndOptional(@TempDir Path folder) throws Exception {
     Path file = folder.resolve("cherryspool.xml");
