Make way only after having answered reports for a while

Cause, found in reading: after an outage longer than W all workers come from the other nodes at once, and a leader that had just been allowed to answer again would have taken them for workers that do not reach it. SuccessionTest has the case.

--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -174,10 +174,10 @@
     timer = loop.schedule(timings.stateLease().dividedBy(WORDS_PER_LEASE), this::tick);
     Duration now = loop.now();
     mesh.tell(new Mesh.Word(settings.name(), replica.term(), reachesState(), strays.count(now)));
-    succession.tick(now);
+    succession.tick(now, leads());
     if (reign != null) {
       Reign.Reach reach = reign.reach();
-      String heir = succession.heir(reach, reign.started(), now);
+      String heir = succession.heir(reach, now);
       if (heir != null) {
         LOG.info(
             "{} of {} machines do not reach this node, so that {} is to lead",
--- a/src/main/java/io/cherryspool/controller/Reign.java
+++ b/src/main/java/io/cherryspool/controller/Reign.java
@@ -197,10 +197,6 @@
     return term;
   }
 
-  Duration started() {
-    return started;
-  }
-
   /**
    * The machines whose reports are late, or that take in no answers, of those that live as far as
    * is known.
--- a/src/main/java/io/cherryspool/controller/Succession.java
+++ b/src/main/java/io/cherryspool/controller/Succession.java
@@ -43,9 +43,16 @@
     words.put(word.node(), new Said(word, now));
   }
 
-  /** Reports that were late because this node stood still, or is behind, are nobody's absence. */
-  void tick(Duration now) {
-    if (lastTick == null || now.minus(lastTick).compareTo(period.multipliedBy(2)) > 0) {
+  /**
+   * Reports that were late because this node stood still, or is behind, are nobody's absence, nor
+   * are those that it could not answer: after an outage of the state service all workers come from
+   * the other nodes at once.
+   *
+   * @param acting whether this node leads and may answer reports
+   */
+  void tick(Duration now, boolean acting) {
+    boolean ran = lastTick != null && now.minus(lastTick).compareTo(period.multipliedBy(2)) <= 0;
+    if (!ran || !acting) {
       steadySince = now;
     }
     lastTick = now;
@@ -56,11 +63,10 @@
    * hears of no other node can't know where its workers are; if it misses half of them, any other
    * node is the better guess.
    */
-  String heir(Reign.Reach reach, Duration leadingSince, Duration now) {
+  String heir(Reign.Reach reach, Duration now) {
     Duration calm = timings.late().multipliedBy(2);
     if (reach.lost() < LEAST
         || reach.lost() * PART < reach.known()
-        || now.minus(leadingSince).compareTo(calm) < 0
         || now.minus(steadySince).compareTo(calm) < 0) {
       return null;
     }
--- a/src/test/java/io/cherryspool/controller/SuccessionTest.java
+++ b/src/test/java/io/cherryspool/controller/SuccessionTest.java
@@ -24,15 +24,17 @@
   private final Succession succession = new Succession(timings, PERIOD);
   private Duration now = START;
 
+  private boolean acting = true;
+
   private String after(double seconds, int known, int lost, Mesh.Word... words) {
     Duration end = now.plusMillis((long) (seconds * 1000));
     for (; now.compareTo(end) < 0; now = now.plus(PERIOD)) {
-      succession.tick(now);
+      succession.tick(now, acting);
       for (Mesh.Word word : words) {
         succession.heard(word, now);
       }
     }
-    return succession.heir(new Reign.Reach(known, lost), START, now);
+    return succession.heir(new Reign.Reach(known, lost), now);
   }
 
   private static Mesh.Word says(String node, boolean state, int strays) {
@@ -71,6 +73,11 @@
     now = now.plusSeconds(9);
     assertNull(after(1, 900, 850, word));
     assertEquals("a", after(20, 900, 850, word));
+    acting = false;
+    assertNull(after(20, 900, 900, word), "it could not answer");
+    acting = true;
+    assertNull(after(5, 900, 700, word), "after an outage they all come from the others");
+    assertEquals("a", after(20, 900, 850, word));
   }
 
   @Test
