--- a/src/test/java/io/cherryspool/sim/DeadMachineTest.java
+++ b/src/test/java/io/cherryspool/sim/DeadMachineTest.java
@@ -8,8 +8,8 @@
 
 /**
  * The tasks of dead machines waited for three reports' time and more, and short urgent jobs lost
- * their deadlines by that alone. With no machine ever taken for mute each seed fails, as the machine
- * is still rented.
+ * their deadlines by that alone. With no machine ever taken for mute each seed fails, as the
+ * machine is still rented.
  */
 class DeadMachineTest {
   @ParameterizedTest
