--- a/src/test/java/io/cherryspool/sim/Simulation.java
+++ b/src/test/java/io/cherryspool/sim/Simulation.java
@@ -284,7 +284,7 @@
 
   /** Cuts the leader off from all machines, and from nothing else; returns its name. */
   String cutLeaderFromWorkers(Duration length) {
-    Node leader = nodes.stream().filter(Node::leads).findFirst().orElseThrow();
+    Node leader = leading().orElseThrow();
     workers
         .values()
         .forEach(worker -> net.cut(leader.address.host(), worker.machine().host, length));
@@ -311,7 +311,7 @@
 
   /** Who leads, or null. */
   String leader() {
-    return nodes.stream().filter(Node::leads).map(Node::name).findFirst().orElse(null);
+    return leading().map(Node::name).orElse(null);
   }
 
   /** How often a worker's lease ran out, over all machines that live. */
@@ -485,9 +485,9 @@
         node.crash(Duration.ofMillis(50 + random.nextLong(400)));
         after(0.5 + random.nextDouble(), () -> node.crash(Duration.ofMillis(100)));
       }
-      case 12 -> leaderOr(node).isolate(length);
+      case 12 -> leading().orElse(node).isolate(length);
       case 13 -> node.freeze(length);
-      case 14 -> leaderOr(node).freeze(Duration.ofMillis(500 + random.nextLong(40_000)));
+      case 14 -> leading().orElse(node).freeze(Duration.ofMillis(500 + random.nextLong(40_000)));
       case 15 ->
           net.cutZone(
               ZONES.get(random.nextInt(3)), Duration.ofMillis(5000 + random.nextLong(45_000)));
@@ -514,8 +514,8 @@
     }
   }
 
-  private Node leaderOr(Node other) {
-    return nodes.stream().filter(Node::leads).findFirst().orElse(other);
+  private Optional<Node> leading() {
+    return nodes.stream().filter(Node::leads).findFirst();
   }
 
   private Optional<StandInWorker> anyWorker() {
