Plan by what can be placed: equal single tasks share one ranking

Of a plan with 700 single tasks and a 25,000-task array, each job looked at every machine (285,938 looks, 34 ms of a whole core), and preemption compared tasks by their written names and worked out ranks anew. Change: jobs of the same demand share one ranking of the machines; losses and ranks are worked out once. Ruled out: requests to the state service (none refused), memory (150 of 263 MB). Conclusion: a plan now costs what is placed, not what waits.

--- a/src/main/java/io/cherryspool/model/TaskId.java
+++ b/src/main/java/io/cherryspool/model/TaskId.java
@@ -1,7 +1,7 @@
 package io.cherryspool.model;
 
 /** A task of a job, written {@code job/number}. */
-public record TaskId(String job, int number) {
+public record TaskId(String job, int number) implements Comparable<TaskId> {
 
   /** Reads the written form; null when it is not one. */
   public static TaskId parse(String text) {
@@ -17,6 +17,12 @@
     }
   }
 
+  @Override
+  public int compareTo(TaskId other) {
+    int jobs = job.compareTo(other.job);
+    return jobs != 0 ? jobs : Integer.compare(number, other.number);
+  }
+
   @Override
   public String toString() {
     return job + "/" + number;
--- a/src/main/java/io/cherryspool/scheduler/Placement.java
+++ b/src/main/java/io/cherryspool/scheduler/Placement.java
@@ -10,7 +10,9 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedList;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -45,6 +47,7 @@
   private final List<Bin> bins = new ArrayList<>();
   private final Map<String, Map<String, Integer>> zones = new HashMap<>();
   private final List<Failure> failures = new ArrayList<>();
+  private final Map<Demand, List<Bin>> ranked = new HashMap<>();
   private final List<RoundPlan.Assignment> assignments = new ArrayList<>();
   private final List<RoundPlan.Unplaced> unplaced = new ArrayList<>();
   private final List<RoundPlan.Unplaced> atLimit = new ArrayList<>();
@@ -79,6 +82,7 @@
     private final Set<String> added = new HashSet<>(2);
     private Resources free;
     private double score;
+    private boolean reserved;
 
     Bin(MachineView machine) {
       this.machine = machine;
@@ -100,6 +104,14 @@
     }
   }
 
+  /** What tells two jobs' tasks apart where machines are chosen for them. */
+  private record Demand(
+      Resources each, List<String> types, String zone, boolean spot, String image) {
+    static Demand of(Job job) {
+      return new Demand(job.perTask(), job.types(), job.zone(), job.spotAllowed(), job.image());
+    }
+  }
+
   private void place(QueueOrder.Entry entry) {
     Job job = entry.job().job();
     Team team = view.teams().get(job.team());
@@ -139,27 +151,26 @@
     if (job.oneZone() && only == null) {
       return 0;
     }
-    List<Bin> candidates = new ArrayList<>();
+    // A bin only gets better while it is filled, so that the order found at first stays right, for
+    // all jobs of the same demand: hundreds of single tasks must not look at every machine each.
+    List<Bin> candidates =
+        anywhere
+            ? ranked.computeIfAbsent(Demand.of(job), key -> candidates(job, null))
+            : candidates(job, only);
     boolean shunned = false;
-    for (Bin bin : bins) {
+    int placed = 0;
+    for (Iterator<Bin> all = candidates.iterator(); all.hasNext() && placed < tasks.size(); ) {
+      Bin bin = all.next();
       considered++;
-      if (fits(job, bin) && (only == null || only.equals(bin.machine.zone()))) {
-        if (bin.machine.shunnedBy().contains(job.id())) {
-          shunned = true;
-        } else {
-          bin.score = score(job, bin);
-          candidates.add(bin);
-        }
+      if (bin.reserved || !job.perTask().fitsIn(bin.free)) {
+        all.remove();
+        continue;
       }
-    }
-    // A bin only gets better while it is filled, so that the order found at first stays right.
-    candidates.sort(Comparator.comparingDouble(bin -> bin.score));
-    int placed = 0;
-    for (Bin bin : candidates) {
-      int room = tasks.size() - placed;
-      if (room == 0) {
-        break;
+      if (bin.machine.shunnedBy().contains(job.id())) {
+        shunned = true;
+        continue;
       }
+      int room = tasks.size() - placed;
       if (perZone != null) {
         int there = perZone.getOrDefault(bin.machine.zone(), 0);
         room = Math.min(room, job.zoneShare() - there);
@@ -184,6 +195,20 @@
     return placed;
   }
 
+  /** The machines with room for a task of the job, the best first. */
+  private List<Bin> candidates(Job job, String zone) {
+    List<Bin> result = new ArrayList<>();
+    for (Bin bin : bins) {
+      considered++;
+      if (fits(job, bin) && (zone == null || zone.equals(bin.machine.zone()))) {
+        bin.score = score(job, bin);
+        result.add(bin);
+      }
+    }
+    result.sort(Comparator.comparingDouble(bin -> bin.score));
+    return new LinkedList<>(result);
+  }
+
   /**
    * Keeps the machine that is nearest to having room for a task that goes before all others:
    * smaller work would otherwise fill each piece as it falls free.
@@ -198,7 +223,10 @@
         nearest = bin;
       }
     }
-    bins.remove(nearest);
+    if (nearest != null) {
+      nearest.reserved = true;
+      bins.remove(nearest);
+    }
   }
 
   private static boolean fits(Job job, Bin bin) {
--- a/src/main/java/io/cherryspool/scheduler/Preemption.java
+++ b/src/main/java/io/cherryspool/scheduler/Preemption.java
@@ -38,10 +38,10 @@
     }
     for (MachineView machine : view.machines()) {
       if (machine.usable()) {
-        Room room = new Room(machine, taken.getOrDefault(machine.name(), Resources.NONE));
+        Room room = room(machine, taken.getOrDefault(machine.name(), Resources.NONE));
         rooms.add(room);
-        for (RunningTask task : room.candidates) {
-          lowest = Math.min(lowest, QueueOrder.rank(task.job(), view));
+        for (Candidate candidate : room.candidates) {
+          lowest = Math.min(lowest, candidate.rank);
         }
       }
     }
@@ -68,13 +68,37 @@
     return preemption.stops;
   }
 
+  /** A task that could be stopped: its rank in the queue, and what stopping it would lose. */
+  private record Candidate(RunningTask task, int rank, double loss) {
+    Job job() {
+      return task.job();
+    }
+  }
+
+  private static final Comparator<Candidate> LEAST_LOSS =
+      Comparator.comparingDouble(Candidate::loss).thenComparing(candidate -> candidate.task.task());
+
+  /** Ranks and losses are worked out once: a machine may hold dozens of small tasks. */
+  private Room room(MachineView machine, Resources taken) {
+    Room room = new Room(machine, taken);
+    for (RunningTask task : machine.running()) {
+      if (task.stopping()) {
+        room.leave(task);
+      } else {
+        room.candidates.add(new Candidate(task, QueueOrder.rank(task.job(), view), loss(task)));
+      }
+    }
+    room.candidates.sort(LEAST_LOSS);
+    return room;
+  }
+
   private void left(RunningTask task) {
     use.merge(task.job().team(), task.job().perTask(), (all, one) -> all.minus(one));
   }
 
-  private void stop(Room room, RunningTask victim) {
+  private void stop(Room room, Candidate victim) {
     stops.add(room.stop(victim));
-    left(victim);
+    left(victim.task);
   }
 
   /** Stops what lets most of the waiting tasks in for the least loss, machine by machine. */
@@ -98,7 +122,7 @@
     while (left > 0 && !choices.isEmpty()) {
       Choice best = choices.poll();
       // What was stopped since may have spent the loan that this choice counted on.
-      List<RunningTask> victims = victims(best.room, job);
+      List<Candidate> victims = victims(best.room, job);
       if (victims == null) {
         continue;
       }
@@ -113,18 +137,18 @@
   }
 
   /** What would be stopped on a machine for one task, and what that loses. */
-  private record Choice(Room room, List<RunningTask> victims, double loss) {
+  private record Choice(Room room, List<Candidate> victims, double loss) {
     String machine() {
       return room.machine.name();
     }
   }
 
   private void offer(PriorityQueue<Choice> choices, Room room, Job job) {
-    List<RunningTask> victims = victims(room, job);
+    List<Candidate> victims = victims(room, job);
     if (victims != null) {
       double loss = fetching(room.machine, job);
-      for (RunningTask victim : victims) {
-        loss += loss(victim);
+      for (Candidate victim : victims) {
+        loss += victim.loss;
       }
       choices.add(new Choice(room, victims, loss));
     }
@@ -140,27 +164,20 @@
   }
 
   /** The tasks whose stopping lets the job's task in; null if none would. */
-  private List<RunningTask> victims(Room room, Job job) {
+  private List<Candidate> victims(Room room, Job job) {
     if (job.perTask().fitsIn(room.free)) {
       return List.of();
     }
-    if (room.candidates.isEmpty()) {
-      return null;
-    }
     boolean owed = view.owed().contains(job.team());
-    List<RunningTask> able = new ArrayList<>();
-    for (RunningTask task : room.candidates) {
-      if (lower(task, job) || owed && !task.job().team().equals(job.team())) {
-        able.add(task);
-      }
-    }
-    able.sort(Comparator.comparingDouble(this::loss).thenComparing(task -> task.task().toString()));
-    List<RunningTask> chosen = new ArrayList<>();
+    List<Candidate> chosen = new ArrayList<>();
     Map<String, Resources> lost = new HashMap<>();
     Resources free = room.free;
-    for (RunningTask task : able) {
+    for (Candidate task : room.candidates) {
       Job other = task.job();
       if (!lower(task, job)) {
+        if (!owed || other.team().equals(job.team())) {
+          continue;
+        }
         // Only what lies beyond the other team's own guarantee is borrowed.
         Team lender = view.teams().get(other.team());
         Resources left =
@@ -181,8 +198,8 @@
   }
 
   /** Work that has aged into a higher rank is not stopped by that rank, or it would never end. */
-  private boolean lower(RunningTask task, Job job) {
-    return QueueOrder.rank(task.job(), view) < job.priority().ordinal();
+  private static boolean lower(Candidate task, Job job) {
+    return task.rank < job.priority().ordinal();
   }
 
   /**
@@ -195,17 +212,15 @@
     if (team == null || job.oneZone() || job.spread() || job.priority().ordinal() <= lowest) {
       return;
     }
-    record Victim(Room room, RunningTask task) {}
+    record Victim(Room room, Candidate task) {}
     PriorityQueue<Victim> victims =
-        new PriorityQueue<>(
-            Comparator.comparingDouble((Victim victim) -> loss(victim.task))
-                .thenComparing(victim -> victim.task.task().toString()));
+        new PriorityQueue<>(Comparator.comparing(Victim::task, LEAST_LOSS));
     for (Room room : rooms) {
       MachineView machine = room.machine;
       if (!Rules.allows(job, machine.type(), machine.zone(), machine.spot())) {
         continue;
       }
-      for (RunningTask task : room.candidates) {
+      for (Candidate task : room.candidates) {
         if (lower(task, job) && task.job().team().equals(job.team())) {
           victims.add(new Victim(room, task));
         }
@@ -243,20 +258,13 @@
   /** A machine with what stopping could free; tasks that are stopping already count as free. */
   private static final class Room {
     private final MachineView machine;
-    private final List<RunningTask> candidates = new ArrayList<>(4);
+    private final List<Candidate> candidates = new ArrayList<>(4);
     private final List<RunningTask> leaving = new ArrayList<>(0);
     private Resources free;
 
     Room(MachineView machine, Resources taken) {
       this.machine = machine;
       this.free = machine.free().minus(taken);
-      for (RunningTask task : machine.running()) {
-        if (task.stopping()) {
-          leave(task);
-        } else {
-          candidates.add(task);
-        }
-      }
     }
 
     private void leave(RunningTask task) {
@@ -264,10 +272,10 @@
       free = free.plus(task.job().perTask());
     }
 
-    RoundPlan.Stop stop(RunningTask victim) {
+    RoundPlan.Stop stop(Candidate victim) {
       candidates.remove(victim);
-      leave(victim);
-      return new RoundPlan.Stop(victim.task(), grace(victim.job()));
+      leave(victim.task);
+      return new RoundPlan.Stop(victim.task.task(), grace(victim.job()));
     }
   }
 }
