Let small idle work go first, and one aged job of each line at a time

Change: what has no deadline follows the document's order (lower level first) until age tells; of each team, class, types and zone only the oldest job that has not begun goes before all others.

--- a/src/main/java/io/cherryspool/scheduler/QueueOrder.java
+++ b/src/main/java/io/cherryspool/scheduler/QueueOrder.java
@@ -7,7 +7,11 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 /**
  * The order of the queue: priority, then the earliest deadline that can still be met (an exception
@@ -19,9 +23,9 @@
  * theirs goes before that of teams which borrow.
  *
  * <p>Age keeps this from starving anyone: a job that has not begun at the age of {@code
- * beginWithin} has one task put before everything else, at three times that age a job counts as one
- * priority higher, and a job whose deadlines are all lost is due at four times that age. Sooner,
- * late jobs would make those late that can still be met.
+ * beginWithin} has one task put before everything else, if it is the oldest of its line, at three
+ * times that age a job counts as one priority higher, and a job whose deadlines are all lost is due
+ * at four times that age. Sooner, late jobs would make those late that can still be met.
  */
 final class QueueOrder {
   private static final Comparator<Entry> ORDER =
@@ -37,6 +41,9 @@
           .thenComparing(entry -> entry.job().job().submitted())
           .thenComparing(entry -> entry.job().job().id());
 
+  private static final Comparator<Job> OLDEST =
+      Comparator.comparing(Job::submitted).thenComparing(Job::id);
+
   private static final List<Double> JUST_ONCE = List.of(1.0);
 
   private QueueOrder() {}
@@ -56,11 +63,10 @@
 
   static List<Entry> of(ClusterView cluster) {
     List<Entry> entries = new ArrayList<>();
+    Set<String> fronts = fronts(cluster);
     for (JobView view : cluster.jobs()) {
       Job job = view.job();
-      Duration age = Duration.between(job.submitted(), cluster.now());
-      Duration patience = cluster.beginWithin();
-      boolean front = !view.begun() && age.compareTo(patience) >= 0;
+      boolean front = fronts.contains(job.id());
       boolean owed = cluster.owed().contains(job.team());
       int rank = rank(job, cluster);
       Instant due = due(job, cluster);
@@ -107,6 +113,33 @@
     return entries;
   }
 
+  /**
+   * Jobs that differ in none of these wait for the same, so that one of them at a time is enough.
+   */
+  private record Line(String team, String jobClass, List<String> types, String zone) {}
+
+  /**
+   * The jobs of which one task goes before everything else: of each line the oldest that has not
+   * begun in time. Were it each of them, a swarm of small jobs of one team would grow old together
+   * and go before all urgent work at once.
+   */
+  private static Set<String> fronts(ClusterView cluster) {
+    Instant limit = cluster.now().minus(cluster.beginWithin());
+    Map<Line, Job> oldest = new HashMap<>();
+    for (JobView view : cluster.jobs()) {
+      Job job = view.job();
+      if (!view.begun() && !job.submitted().isAfter(limit)) {
+        oldest.merge(
+            new Line(job.team(), job.jobClass(), job.types(), job.zone()),
+            job,
+            (a, b) -> OLDEST.compare(a, b) <= 0 ? a : b);
+      }
+    }
+    Set<String> result = new HashSet<>();
+    oldest.values().forEach(job -> result.add(job.id()));
+    return result;
+  }
+
   /**
    * The job's priority, one higher from an age on at which it must not wait for others any more.
    */
@@ -118,7 +151,7 @@
 
   /**
    * The next moment named by the aims that one more run of its tasks can still meet; when all are
-   * lost, an age at which others must not go before it any more.
+   * lost, an age at which others must not go before it any more; without any, never before that.
    */
   static Instant due(Job job, ClusterView cluster) {
     if (job.deadline() != null) {
@@ -130,7 +163,10 @@
         }
       }
     }
-    return job.submitted().plus(cluster.beginWithin().multipliedBy(4));
+    Instant aged = job.submitted().plus(cluster.beginWithin().multipliedBy(4));
+    // Without a deadline small work goes before large until age tells: hundreds of single tasks
+    // stood behind an array of 25,000 that had come a minute sooner.
+    return job.deadline() != null || aged.isBefore(cluster.now()) ? aged : Instant.MAX;
   }
 
   static int level(Job job) {
