Leave users' changes the writes they need, and idle work's records for last

Change: a node may take its whole part each second, tells the others what it uses, and the leader leaves them that. Ends and starts of idle work are written after those of all other work and leave room in the budget. What the nodes say is kept once (Peers) instead of in Controller and Succession both.

--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -28,6 +28,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -53,7 +54,7 @@
   private final Supplier<Instant> wall;
   private final Supplier<String> metrics;
   private final Map<String, Team> teams = new HashMap<>();
-  private final Map<String, Duration> peersWithState = new HashMap<>();
+  private final Peers peers = new Peers();
   private final Strays strays = new Strays();
   private final Succession succession;
   private final StateClient state;
@@ -65,7 +66,6 @@
   private final CatalogKeeper catalog;
   private final UserApi users;
   private Reign reign;
-  private Duration lastWord;
   private EventLoop.Timer timer;
 
   /** What the node is given to work with. {@code metrics} writes the registry out. */
@@ -90,7 +90,7 @@
     settings.teams().forEach(team -> teams.put(team.name(), team));
     Settings.StateLimits limits = settings.stateLimits();
     int nodes = settings.peers().size() + 1;
-    succession = new Succession(timings, timings.stateLease().dividedBy(WORDS_PER_LEASE));
+    succession = new Succession(peers, timings, timings.stateLease().dividedBy(WORDS_PER_LEASE));
     state = new StateClient(given.transport(), settings.state(), timings.stateCall());
     budget = new Budget(loop, nodes, limits.rps(), limits.writeRps());
     Duration refreshGap = Duration.ofNanos((long) (2e9 * nodes / limits.rps()));
@@ -161,19 +161,17 @@
   /** Word from another node. */
   public void heard(Mesh.Word word) {
     election.hear(word.term());
-    lastWord = loop.now();
-    succession.heard(word, lastWord);
-    if (word.state()) {
-      peersWithState.put(word.node(), loop.now());
-    } else {
-      peersWithState.remove(word.node());
-    }
+    peers.heard(word, loop.now());
   }
 
   private void tick() {
     timer = loop.schedule(timings.stateLease().dividedBy(WORDS_PER_LEASE), this::tick);
     Duration now = loop.now();
-    mesh.tell(new Mesh.Word(settings.name(), replica.term(), reachesState(), strays.count(now)));
+    int writes = (int) Math.ceil(10 * budget.lately());
+    mesh.tell(
+        new Mesh.Word(settings.name(), replica.term(), reachesState(), strays.count(now), writes));
+    budget.others(
+        peers.since(timings.stateLease(), now).stream().mapToInt(Mesh.Word::writes).toArray());
     succession.tick(now, leads());
     if (reign != null) {
       Reign.Reach reach = reign.reach();
@@ -275,20 +273,14 @@
    * others say the same stays ready; one that hears nobody is rather cut off itself.
    */
   private Reply ready() {
-    boolean outage = !othersReachState() && (hearsOthers() || settings.peers().isEmpty());
+    List<Mesh.Word> others = peers.since(timings.stateLease(), loop.now());
+    boolean outage =
+        others.stream().noneMatch(Mesh.Word::state)
+            && (!others.isEmpty() || settings.peers().isEmpty());
     boolean ready = replica.loaded() && (reachesState() || outage);
     return Reply.json(ready ? 200 : 503, JobWire.error(ready ? "none" : "not ready"));
   }
 
-  private boolean othersReachState() {
-    Duration limit = loop.now().minus(timings.stateLease());
-    return peersWithState.values().stream().anyMatch(at -> at.compareTo(limit) > 0);
-  }
-
-  private boolean hearsOthers() {
-    return lastWord != null && loop.now().minus(lastWord).compareTo(timings.stateLease()) < 0;
-  }
-
   private Reply metrics() {
     byte[] text = metrics.get().getBytes(StandardCharsets.UTF_8);
     return new Reply(200, text, 0, "text/plain; version=0.0.4; charset=utf-8");
--- a/src/main/java/io/cherryspool/controller/RoundEdits.java
+++ b/src/main/java/io/cherryspool/controller/RoundEdits.java
@@ -1,6 +1,7 @@
 package io.cherryspool.controller;
 
 import io.cherryspool.model.Outcome;
+import io.cherryspool.model.Priority;
 import io.cherryspool.model.Shard;
 import io.cherryspool.store.Budget;
 import io.cherryspool.store.JobEntry;
@@ -15,8 +16,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Turns a round's assignments and the proofs at hand into changes of records, the pressing ones
@@ -24,8 +23,6 @@
  * have waited long enough, then records of ended jobs.
  */
 final class RoundEdits {
-  private static final Logger LOG = LoggerFactory.getLogger(RoundEdits.class);
-
   private final Proofs proofs;
   private final int maxChanges;
   private final Map<String, Edit> edits = new LinkedHashMap<>();
@@ -82,8 +79,10 @@
    * @param overdue those learnt until then press as much as anything
    */
   List<RoundWriter.Unit> units(Collection<JobEntry> active, Duration due, Duration overdue) {
-    List<RoundWriter.Unit> ends = new ArrayList<>();
-    List<RoundWriter.Unit> starts = new ArrayList<>();
+    // Idle work comes after all other, or its ends would go before the starts of those it waits
+    // for.
+    Ranks usual = new Ranks();
+    Ranks idle = new Ranks();
     List<RoundWriter.Unit> rest = new ArrayList<>();
     Set<String> ending = new HashSet<>();
     for (String id : proofs.jobs()) {
@@ -105,25 +104,34 @@
         ending.add(id);
       }
     }
-    edits.forEach((id, edit) -> add(edit, ending.contains(id), ends, starts, rest));
+    edits.forEach(
+        (id, edit) -> add(edit, ending.contains(id), idle(edit.entry) ? idle : usual, rest));
     clean(active, rest);
-    ends.addAll(starts);
-    ends.addAll(rest);
-    return ends;
+    List<RoundWriter.Unit> all = new ArrayList<>(usual.ends);
+    all.addAll(usual.starts);
+    all.addAll(idle.ends);
+    all.addAll(idle.starts);
+    all.addAll(rest);
+    return all;
+  }
+
+  /** Changes of like importance, ends of jobs before starts. */
+  private static final class Ranks {
+    private final List<RoundWriter.Unit> ends = new ArrayList<>();
+    private final List<RoundWriter.Unit> starts = new ArrayList<>();
   }
 
-  private void add(
-      Edit edit,
-      boolean ending,
-      List<RoundWriter.Unit> ends,
-      List<RoundWriter.Unit> starts,
-      List<RoundWriter.Unit> rest) {
+  private static boolean idle(JobEntry entry) {
+    return entry.job().priority() == Priority.LOW;
+  }
+
+  private void add(Edit edit, boolean ending, Ranks ranks, List<RoundWriter.Unit> rest) {
     JobEntry entry = edit.entry;
     String id = entry.job().id();
     Map<Integer, Shard> built = new TreeMap<>();
     edit.shards.forEach((index, editor) -> built.put(index, editor.build()));
     if (ending && built.size() + 1 <= maxChanges) {
-      ends.add(ending(entry, built));
+      ranks.ends.add(ending(entry, built));
       return;
     }
     built.forEach(
@@ -143,8 +151,8 @@
                       new StateWire.Change(
                           Records.progress(id, index), over ? null : Records.shard(shard), 0)),
                   Records.sizeOf(shard),
-                  assigns || ending || edit.late ? Budget.Use.ROUND : Budget.Use.LATER);
-          (assigns ? starts : ending ? ends : rest).add(unit);
+                  assigns || ending || edit.late ? use(entry) : Budget.Use.LATER);
+          (assigns ? ranks.starts : ending ? ranks.ends : rest).add(unit);
         });
   }
 
@@ -171,8 +179,11 @@
         changes.add(new StateWire.Change(Records.progress(id, index), null, 0));
       }
     }
-    LOG.info("job {} is done", id);
-    return new RoundWriter.Unit(conditions, changes, bytes, Budget.Use.ROUND);
+    return new RoundWriter.Unit(conditions, changes, bytes, use(entry));
+  }
+
+  private static Budget.Use use(JobEntry entry) {
+    return idle(entry) ? Budget.Use.IDLE : Budget.Use.ROUND;
   }
 
   /** Ends jobs whose last shards were committed apart, and removes records of ended jobs. */
--- a/src/main/java/io/cherryspool/controller/RoundWriter.java
+++ b/src/main/java/io/cherryspool/controller/RoundWriter.java
@@ -64,7 +64,10 @@
     int taken = 0;
     for (Unit unit : units) {
       int size = unit.bytes + CHANGE_OVERHEAD * unit.changes.size();
-      boolean full = changes + unit.changes.size() > limit || bytes + size > MAX_BYTES;
+      boolean full =
+          changes + unit.changes.size() > limit
+              || bytes + size > MAX_BYTES
+              || !batch.isEmpty() && unit.use != batch.get(0).use;
       if (full && !batch.isEmpty()) {
         if (!budget.takeWrites(batch.get(0).use, changes)) {
           batch = List.of();
--- a/src/main/java/io/cherryspool/controller/Succession.java
+++ b/src/main/java/io/cherryspool/controller/Succession.java
@@ -2,8 +2,7 @@
 
 import io.cherryspool.mesh.Mesh;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.List;
 
 /**
  * Tells when a leader should make way. One that loses its workers, but neither the state service
@@ -25,24 +24,19 @@
 
   private final Timings timings;
   private final Duration period;
-  private final Map<String, Said> words = new HashMap<>();
+  private final Peers peers;
   private Duration lastTick;
   private Duration steadySince = Duration.ZERO;
 
-  private record Said(Mesh.Word word, Duration at) {}
-
   /**
    * @param period how often the nodes tell one another
    */
-  Succession(Timings timings, Duration period) {
+  Succession(Peers peers, Timings timings, Duration period) {
+    this.peers = peers;
     this.timings = timings;
     this.period = period;
   }
 
-  void heard(Mesh.Word word, Duration now) {
-    words.put(word.node(), new Said(word, now));
-  }
-
   /**
    * Reports that were late because this node stood still, or is behind, are nobody's absence, nor
    * are those that it could not answer: after an outage of the state service all workers come from
@@ -70,20 +64,18 @@
         || now.minus(steadySince).compareTo(calm) < 0) {
       return null;
     }
-    Said best = null;
+    List<Mesh.Word> words = peers.since(period.multipliedBy(3), now);
+    if (words.isEmpty()) {
+      return reach.lost() * 2 >= reach.known() && peers.known() ? ANYBODY : null;
+    }
+    Mesh.Word best = null;
     int strays = 0;
-    boolean alone = true;
-    for (Said said : words.values()) {
-      boolean fresh = now.minus(said.at).compareTo(period.multipliedBy(3)) < 0;
-      alone &= !fresh;
-      if (fresh && said.word.state() && said.word.strays() > 0) {
-        strays += said.word.strays();
-        best = best == null || said.word.strays() > best.word.strays() ? said : best;
+    for (Mesh.Word word : words) {
+      if (word.state() && word.strays() > 0) {
+        strays += word.strays();
+        best = best == null || word.strays() > best.strays() ? word : best;
       }
     }
-    if (alone) {
-      return reach.lost() * 2 >= reach.known() && !words.isEmpty() ? ANYBODY : null;
-    }
-    return strays * 2 >= reach.lost() && best != null ? best.word.node() : null;
+    return strays * 2 >= reach.lost() && best != null ? best.node() : null;
   }
 }
--- a/src/main/java/io/cherryspool/store/Budget.java
+++ b/src/main/java/io/cherryspool/store/Budget.java
@@ -6,22 +6,27 @@
 /**
  * This node's part of what the state service bears. The limits are for all nodes together and
  * nobody divides them, so each node keeps to a share; the leader's share of writes is the larger
- * one. The others share theirs in time as well: users' changes come in bursts and rarely to all
- * nodes at once, so that each may take all of it for a moment. Leases and elections are never held
- * back, cancels before submissions, submissions before rounds, and what can wait after those.
+ * one. The others' bursts rarely come at once, so that each may take all of their share for a
+ * moment, and the leader leaves them what they say that they use. Leases and elections are never
+ * held back, cancels before submissions, submissions before rounds, idle work and what can wait
+ * after those.
  */
 public final class Budget {
   private static final double MARGIN = 0.95;
   private static final double LEADER_WRITES = 0.8;
 
-  /** How far the other nodes' rates may exceed their common share together. */
-  private static final double OVERLAP = 2;
+  /** What the leader keeps, however much the others use. */
+  private static final double LEADER_LEAST = 0.4;
+
+  /** Over how many seconds a node's own use is averaged. */
+  private static final double LATELY_S = 2;
 
   /** Uses, by how much of a second's writes they leave to the more pressing ones. */
   public enum Use {
     CANCEL(0),
     SUBMIT(0.1),
     ROUND(0.25),
+    IDLE(0.45),
     LATER(0.6);
 
     private final double leaves;
@@ -39,6 +44,9 @@
   private double writeDepth;
   private double requests;
   private double writes;
+  private double lately;
+  private boolean leader;
+  private double others;
   private Duration filled;
 
   public Budget(EventLoop loop, int nodes, double rps, double writeRps) {
@@ -47,19 +55,46 @@
     this.allWrites = writeRps * MARGIN;
     this.requestRate = rps * MARGIN / nodes;
     this.filled = loop.now();
+    others(new int[0]);
     setLeader(false);
     requests = requestRate;
     writes = writeDepth;
   }
 
-  public void setLeader(boolean leader) {
-    if (nodes == 1 || leader) {
-      writeRate = allWrites * (nodes == 1 ? 1 : LEADER_WRITES);
-      writeDepth = writeRate;
-    } else {
-      writeDepth = allWrites * (1 - LEADER_WRITES);
-      writeRate = Math.min(writeDepth, writeDepth * OVERLAP / (nodes - 1));
+  public void setLeader(boolean value) {
+    leader = value;
+    writeDepth = nodes == 1 ? allWrites : allWrites * (leader ? LEADER_WRITES : 1 - LEADER_WRITES);
+    rate();
+  }
+
+  /**
+   * What the other nodes say that they use, in tenths of a change for a second. A leader leaves it
+   * to them: users' changes come to all nodes alike, and with five nodes a fixed share made them
+   * wait while the leader used a third of its own. Of a node that says nothing, a fair part of the
+   * others' share is assumed.
+   */
+  public void others(int... tenths) {
+    double sum = 0;
+    for (int one : tenths) {
+      sum += one / 10.0;
     }
+    int silent = Math.max(0, nodes - 1 - tenths.length);
+    others = sum + silent * allWrites * (1 - LEADER_WRITES) / Math.max(1, nodes - 1);
+    rate();
+  }
+
+  private void rate() {
+    refill();
+    writeRate =
+        leader || nodes == 1
+            ? Math.max(allWrites * LEADER_LEAST, allWrites - others)
+            : allWrites * (1 - LEADER_WRITES);
+  }
+
+  /** How many changes a second this node has made of late. */
+  public double lately() {
+    refill();
+    return lately / LATELY_S;
   }
 
   /** The most changes one transaction of this use may hold if it is ever to be allowed. */
@@ -74,7 +109,7 @@
       return count == 1 && takeLast(use);
     }
     requests--;
-    writes -= count;
+    spend(count);
     return true;
   }
 
@@ -84,7 +119,7 @@
       return false;
     }
     requests--;
-    writes--;
+    spend(1);
     return true;
   }
 
@@ -92,7 +127,12 @@
   public void force(int changes) {
     refill();
     requests--;
+    spend(changes);
+  }
+
+  private void spend(int changes) {
     writes -= changes;
+    lately += changes;
   }
 
   /** Takes one reading request, if there is room. */
@@ -116,6 +156,7 @@
     Duration now = loop.now();
     double seconds = now.minus(filled).toNanos() / 1e9;
     filled = now;
+    lately *= Math.exp(-seconds / LATELY_S);
     requests = Math.min(requestRate, requests + seconds * requestRate);
     writes = Math.min(Math.max(1, writeDepth), writes + seconds * writeRate);
   }
--- a/src/test/java/io/cherryspool/controller/SuccessionTest.java
+++ b/src/test/java/io/cherryspool/controller/SuccessionTest.java
@@ -21,7 +21,8 @@
           Duration.ofSeconds(1),
           Duration.ofSeconds(2),
           Duration.ofSeconds(5));
-  private final Succession succession = new Succession(timings, PERIOD);
+  private final Peers peers = new Peers();
+  private final Succession succession = new Succession(peers, timings, PERIOD);
   private Duration now = START;
 
   private boolean acting = true;
@@ -31,14 +32,14 @@
     for (; now.compareTo(end) < 0; now = now.plus(PERIOD)) {
       succession.tick(now, acting);
       for (Mesh.Word word : words) {
-        succession.heard(word, now);
+        peers.heard(word, now);
       }
     }
     return succession.heir(new Reign.Reach(known, lost), now);
   }
 
   private static Mesh.Word says(String node, boolean state, int strays) {
-    return new Mesh.Word(node, 7, state, strays);
+    return new Mesh.Word(node, 7, state, strays, 0);
   }
 
   @Test
