Doubt jobs that fail on several machines and succeed on none

Cause: a job submitted with a mistake was tried with all its tasks until it was cancelled, each with a backoff of its own: it took machines from others, was counted as work to rent for, and its first failures were held against machines. Change: a job that failed on three machines and succeeded on none gets two tries at a time, up to 30 s apart, until one succeeds; nothing is rented for it, and one job counts once against a machine until it has succeeded anywhere. Its user is told of the tasks that fail. The count of failing tasks is kept with the job instead of being made for each poll.

--- a/src/main/java/io/cherryspool/controller/Ownership.java
+++ b/src/main/java/io/cherryspool/controller/Ownership.java
@@ -29,6 +29,9 @@
 
     void jobTouched(JobEntry entry);
 
+    /** The job has ended. */
+    void jobEnded(JobEntry entry);
+
     /** The records no longer hold this attempt. */
     void released(Owned owned);
 
@@ -87,6 +90,9 @@
   @Override
   public void changed(JobEntry entry) {
     listener.jobTouched(entry);
+    if (entry.outcome() != null) {
+      listener.jobEnded(entry);
+    }
     if (entry.outcome() == Outcome.CANCELLED) {
       for (JobEntry.Versioned item : entry.shards().values()) {
         for (Attempt attempt : item.shard().owned().values()) {
--- a/src/main/java/io/cherryspool/controller/Reign.java
+++ b/src/main/java/io/cherryspool/controller/Reign.java
@@ -53,6 +53,7 @@
   private final Ownership ownership;
   private final Proofs proofs = new Proofs();
   private final Stops stops = new Stops();
+  private final Doubts doubts = new Doubts();
   private final Orders orders;
   private final Pusher pusher;
   private final Workload workload;
@@ -94,7 +95,7 @@
     this.ownership = new Ownership(replica);
     this.orders = new Orders(stops, tokens, proofs);
     this.pusher = new Pusher(loop, workers, tokens, timings.workerCall(), this::pushed);
-    this.workload = new Workload(replica, proofs, cluster.wall());
+    this.workload = new Workload(replica, proofs, doubts, cluster.wall());
     Judge judge = new Judge(timings, tokens, stops, started);
     this.rounds =
         new Rounds(
@@ -103,7 +104,7 @@
             writer,
             fleet,
             judge,
-            new Rounds.Ledger(ownership, proofs, stops),
+            new Rounds.Ledger(ownership, proofs, stops, doubts),
             tokens,
             cluster.teams(),
             cluster.catalog(),
@@ -143,6 +144,11 @@
       workload.accepted(entry);
     }
 
+    @Override
+    public void jobEnded(JobEntry entry) {
+      LOG.info("job {} is {}", entry.job().id(), entry.outcome());
+    }
+
     @Override
     public void released(Ownership.Owned owned) {
       proofs.drop(owned);
--- a/src/main/java/io/cherryspool/controller/RoundView.java
+++ b/src/main/java/io/cherryspool/controller/RoundView.java
@@ -38,6 +38,7 @@
   private final Ownership ownership;
   private final Proofs proofs;
   private final Stops stops;
+  private final Doubts doubts;
   private final Tokens tokens;
   private final Duration silence;
   private final Duration halfLease;
@@ -61,6 +62,7 @@
     this.ownership = ledger.ownership();
     this.proofs = ledger.proofs();
     this.stops = ledger.stops();
+    this.doubts = ledger.doubts();
     this.tokens = tokens;
     this.silence = silence;
     this.halfLease = halfLease;
@@ -250,6 +252,15 @@
         }
       }
     }
+    if (!succeeded(entry) && doubts.doubted(entry)) {
+      Duration ready = doubts.ready(entry, now);
+      if (now.compareTo(ready) < 0) {
+        free = List.of();
+        until = until == null || ready.compareTo(until) < 0 ? ready : until;
+      } else {
+        free = tries(free, Doubts.TRIES - (entry.ownedCount() - known.size()));
+      }
+    }
     Map<String, Integer> perZone = Map.of();
     if (job.oneZone() || job.spread()) {
       perZone = perZone(entry);
@@ -261,6 +272,23 @@
     return new SeenJob(new ClusterView.JobView(job, free, perZone, held, begun), until);
   }
 
+  /** Whether any task of the job was ever done. */
+  boolean succeeded(JobEntry entry) {
+    return entry.doneCount() > 0 || Proofs.done(proofs.ofJob(entry.job().id()).values()) > 0;
+  }
+
+  /** The task that failed least, and the first one again: one of either kind may be the bad one. */
+  private static List<ClusterView.FreeTask> tries(List<ClusterView.FreeTask> free, int count) {
+    if (count <= 0 || free.isEmpty()) {
+      return List.of();
+    }
+    ClusterView.FreeTask least = free.get(0);
+    for (ClusterView.FreeTask task : free) {
+      least = task.failures() < least.failures() ? task : least;
+    }
+    return count == 1 || least == free.get(0) ? List.of(least) : List.of(least, free.get(0));
+  }
+
   /** The owned tasks by zone; null if one is on a machine of which nothing is known. */
   private Map<String, Integer> perZone(JobEntry entry) {
     Map<String, Integer> result = new HashMap<>();
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -13,8 +13,7 @@
 import io.cherryspool.store.Replica;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -57,7 +56,6 @@
   private final Workload workload;
   private final Runnable committed;
   private final Set<String> dirty = new LinkedHashSet<>();
-  private final Map<String, Set<String>> failedOn = new HashMap<>();
   private RoundPlan last = RoundPlan.NOTHING;
   private boolean placing;
   private boolean underWay;
@@ -107,7 +105,7 @@
   }
 
   /** What the leader knows of owned tasks: by the records, by proof, and by its own decision. */
-  record Ledger(Ownership ownership, Proofs proofs, Stops stops) {}
+  record Ledger(Ownership ownership, Proofs proofs, Stops stops, Doubts doubts) {}
 
   /** A round's sizes and times, from the settings. */
   record Limits(
@@ -165,7 +163,7 @@
   void jobTouched(JobEntry entry) {
     view.jobTouched(entry);
     if (entry.outcome() != null) {
-      failedOn.remove(entry.job().id());
+      ledger.doubts().drop(entry.job().id());
     }
   }
 
@@ -296,6 +294,7 @@
       machine.view = null;
     }
     if (done) {
+      ledger.doubts().drop(entry.job().id());
       if (machine != null) {
         machine.failuresInARow = 0;
         Duration since = machine.runningSince.get(owned.id());
@@ -312,16 +311,9 @@
     if (machine != null && (verdict == Judge.Verdict.FAILED || verdict == Judge.Verdict.REFUSED)) {
       machine.failedJobs.put(entry.job().id(), now);
     }
-    if (machine != null && verdict == Judge.Verdict.FAILED) {
-      blame(machine, entry);
-    }
-  }
-
-  /** A job that fails on several machines and succeeds on none is itself to blame. */
-  private void blame(MachineState machine, JobEntry entry) {
-    Set<String> where = failedOn.computeIfAbsent(entry.job().id(), key -> new HashSet<>());
-    where.add(machine.name);
-    if (where.size() < 3 || entry.doneCount() > 0) {
+    if (machine != null
+        && verdict == Judge.Verdict.FAILED
+        && ledger.doubts().failed(entry, view.succeeded(entry), machine, now)) {
       machine.failuresInARow++;
     }
   }
@@ -355,16 +347,19 @@
           entry, item.task(), item.machine(), machine.latest.session(), tokens.current() + 1);
       Fleet.addImage(machine, entry.job().image());
     }
+    Map<String, Integer> stopped = new LinkedHashMap<>();
     for (RoundPlan.Stop stop : plan.stops()) {
       JobEntry entry = replica.job(stop.task().job());
       int number = stop.task().number();
       Attempt attempt = entry.shard(entry.shardOf(number)).shard().owner(number);
       if (attempt != null) {
-        LOG.info("stopping {} on {} for other work", stop.task(), attempt.machine());
+        stopped.merge(stop.task().job(), 1, Integer::sum);
         ledger.stops().add(stop.task(), attempt.number(), stop.grace());
         machineTouched(attempt.machine());
       }
     }
+    // A line for each job: thousands of small tasks may make way in a round.
+    stopped.forEach((job, count) -> LOG.info("stopping {} tasks of {} for other work", count, job));
     if (!plan.stops().isEmpty()) {
       committed.run();
     }
--- a/src/main/java/io/cherryspool/controller/UserApi.java
+++ b/src/main/java/io/cherryspool/controller/UserApi.java
@@ -5,7 +5,6 @@
 import io.cherryspool.model.Job;
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Outcome;
-import io.cherryspool.model.Shard;
 import io.cherryspool.model.Team;
 import io.cherryspool.scheduler.Rules;
 import io.cherryspool.store.Budget;
@@ -163,19 +162,9 @@
                 ? JobWire.Status.CANCELLED
                 : running > 0 ? JobWire.Status.RUNNING : JobWire.Status.PENDING;
     return Reply.json(
-        200, JobWire.status(entry.job().id(), status, entry.doneCount(), running, failing(entry)));
-  }
-
-  private int failing(JobEntry entry) {
-    int count = 0;
-    if (entry.outcome() == null) {
-      for (JobEntry.Versioned item : entry.shards().values()) {
-        for (Shard.History history : item.shard().histories().values()) {
-          count += history.failures() >= failureCap ? 1 : 0;
-        }
-      }
-    }
-    return count;
+        200,
+        JobWire.status(
+            entry.job().id(), status, entry.doneCount(), running, entry.failing(failureCap)));
   }
 
   private static Reply ending(JobEntry entry) {
--- a/src/main/java/io/cherryspool/controller/Workload.java
+++ b/src/main/java/io/cherryspool/controller/Workload.java
@@ -39,6 +39,7 @@
 
   private final Replica replica;
   private final Proofs proofs;
+  private final Doubts doubts;
   private final Supplier<Instant> wall;
   private final Map<String, JobEntry> recent = new LinkedHashMap<>();
   private final Map<String, Runs> runs = new HashMap<>();
@@ -50,9 +51,10 @@
     private int count;
   }
 
-  Workload(Replica replica, Proofs proofs, Supplier<Instant> wall) {
+  Workload(Replica replica, Proofs proofs, Doubts doubts, Supplier<Instant> wall) {
     this.replica = replica;
     this.proofs = proofs;
+    this.doubts = doubts;
     this.wall = wall;
   }
 
@@ -89,7 +91,8 @@
   }
 
   List<FleetPlan.Load> loads() {
-    recent.values().removeIf(entry -> age(entry.job()).compareTo(WINDOW) >= 0);
+    // No machine is rented for what does not seem to run anywhere.
+    recent.values().removeIf(entry -> age(entry.job()).compareTo(WINDOW) >= 0 || doubted(entry));
     List<FleetPlan.Load> result = new ArrayList<>();
     double all = 0;
     double lately = 0;
@@ -110,7 +113,7 @@
       result.add(new FleetPlan.Load(entry.job(), work * share, work * cpus * share, 0));
     }
     for (JobEntry entry : replica.active()) {
-      if (entry.outcome() == null) {
+      if (entry.outcome() == null && !doubted(entry)) {
         Collection<Proofs.Proof> known = proofs.ofJob(entry.job().id()).values();
         int running = entry.ownedCount() - known.size();
         int done = entry.doneCount() + Proofs.done(known);
@@ -123,6 +126,11 @@
     return result;
   }
 
+  private boolean doubted(JobEntry entry) {
+    Collection<Proofs.Proof> known = proofs.ofJob(entry.job().id()).values();
+    return entry.doneCount() + Proofs.done(known) == 0 && doubts.doubted(entry);
+  }
+
   private double work(Job job, int tasks) {
     return tasks * job.perTask().cpus() * seconds(job.estimate()) * pace(job.jobClass());
   }
--- a/src/main/java/io/cherryspool/store/JobEntry.java
+++ b/src/main/java/io/cherryspool/store/JobEntry.java
@@ -21,6 +21,7 @@
   private Outcome outcome;
   private int done;
   private int owned;
+  private Failures failures;
 
   JobEntry(Job job, int tasksPerShard) {
     this.job = job;
@@ -76,6 +77,54 @@
     return owned;
   }
 
+  /**
+   * The tasks that were tried and are not done, those of them that failed, and all their failures.
+   */
+  public record Failures(int tried, int tasks, int all, int most) {}
+
+  /** Counted once for each change: with a storm of questions, polls are many times as frequent. */
+  public Failures failures() {
+    if (failures == null) {
+      int tried = 0;
+      int tasks = 0;
+      int all = 0;
+      int most = 0;
+      for (Versioned item : shards.values()) {
+        for (Shard.History history : item.shard().histories().values()) {
+          tried++;
+          tasks += history.failures() > 0 ? 1 : 0;
+          all += history.failures();
+          most = Math.max(most, history.failures());
+        }
+      }
+      failures = new Failures(tried, tasks, all, most);
+    }
+    return failures;
+  }
+
+  /**
+   * How many tasks the job's user is to hear of as failing: those past the cap, or, where nothing
+   * was ever done and the tries together have failed that often, all that failed.
+   */
+  public int failing(int cap) {
+    Failures known = failures();
+    if (outcome != null || known.all < cap) {
+      return 0;
+    }
+    if (doneCount() == 0 && known.tasks >= known.tried - owned) {
+      return known.tasks;
+    }
+    int count = 0;
+    if (known.most >= cap) {
+      for (Versioned item : shards.values()) {
+        for (Shard.History history : item.shard().histories().values()) {
+          count += history.failures() >= cap ? 1 : 0;
+        }
+      }
+    }
+    return count;
+  }
+
   void setOutcome(Outcome value) {
     outcome = value;
   }
@@ -87,6 +136,7 @@
     Shard now = value == null ? Shard.EMPTY : value.shard();
     done += now.doneCount() - old.doneCount();
     owned += now.owned().size() - old.owned().size();
+    failures = null;
     return old;
   }
 }
--- a/src/test/java/io/cherryspool/store/JobEntryFixture.java
+++ b/src/test/java/io/cherryspool/store/JobEntryFixture.java
@@ -21,4 +21,15 @@
     entry.setShard(0, new JobEntry.Versioned(editor.build(), 7));
     return entry;
   }
+
+  /** Tasks that were tried as often as they failed, and wait. */
+  public static JobEntry failed(Job job, int... failures) {
+    JobEntry entry = of(job);
+    Shard.Editor editor = Shard.EMPTY.edit();
+    for (int task = 0; task < failures.length; task++) {
+      editor.history(task, new Shard.History(failures[task] + 1, failures[task]));
+    }
+    entry.setShard(0, new JobEntry.Versioned(editor.build(), 7));
+    return entry;
+  }
 }
