--- a/src/main/java/io/cherryspool/controller/RoundWriter.java
+++ b/src/main/java/io/cherryspool/controller/RoundWriter.java
@@ -32,10 +32,7 @@
   private final long termVersion;
   private boolean stopped;
 
-  /**
-   * Changes that are committed together or not at all; {@code bytes} is what their values take. One
-   * that may wait still goes along in a transaction that a pressing one has begun.
-   */
+  /** Changes that are committed together or not at all; {@code bytes} is what their values take. */
   record Unit(
       Map<String, Long> conditions, List<StateWire.Change> changes, int bytes, Budget.Use use) {}
 
@@ -56,36 +53,35 @@
    * all of their outcomes are certain, and not at all when none was sent.
    */
   int write(List<Unit> units, Runnable done) {
-    List<Unit> batch = new ArrayList<>();
     List<List<Unit>> transactions = new ArrayList<>();
-    int limit = Math.min(maxChanges, budget.largest(Budget.Use.ROUND));
+    List<Unit> batch = new ArrayList<>();
     int changes = 0;
     int bytes = 0;
     int taken = 0;
     for (Unit unit : units) {
-      int size = unit.bytes + CHANGE_OVERHEAD * unit.changes.size();
-      boolean full =
-          changes + unit.changes.size() > limit
-              || bytes + size > MAX_BYTES
-              || !batch.isEmpty() && unit.use != batch.get(0).use;
+      int count = unit.changes.size();
+      int size = unit.bytes + CHANGE_OVERHEAD * count;
+      boolean full = changes + count > maxChanges || bytes + size > MAX_BYTES;
       if (full && !batch.isEmpty()) {
-        if (!budget.takeWrites(batch.get(0).use, changes)) {
-          batch = List.of();
-          break;
-        }
-        transactions.add(batch);
-        taken += batch.size();
+        budget.force(changes);
         batch = new ArrayList<>();
         changes = 0;
         bytes = 0;
       }
+      // As many as may go now, and not a batch of the largest size later: starts wait for it.
+      if (!budget.allows(unit.use, changes + count)) {
+        break;
+      }
+      if (batch.isEmpty()) {
+        transactions.add(batch);
+      }
       batch.add(unit);
-      changes += unit.changes.size();
+      changes += count;
       bytes += size;
+      taken++;
     }
-    if (!batch.isEmpty() && budget.takeWrites(batch.get(0).use, changes)) {
-      transactions.add(batch);
-      taken += batch.size();
+    if (!batch.isEmpty()) {
+      budget.force(changes);
     }
     int[] open = {transactions.size()};
     for (List<Unit> transaction : transactions) {
--- a/src/main/java/io/cherryspool/store/Budget.java
+++ b/src/main/java/io/cherryspool/store/Budget.java
@@ -18,6 +18,9 @@
   /** What the leader keeps, however much the others use. */
   private static final double LEADER_LEAST = 0.4;
 
+  /** A bucket as full as it gets while time goes on. */
+  private static final double FULL = 0.98;
+
   /** Over how many seconds a node's own use is averaged. */
   private static final double LATELY_S = 2;
 
@@ -104,23 +107,28 @@
 
   /** Takes one request with so many changes, if this use may have it now. */
   public boolean takeWrites(Use use, int count) {
-    refill();
-    if (requests < 1 || writes - count < use.leaves * writeDepth - 1e-9) {
-      return count == 1 && takeLast(use);
+    if (!allows(use, count)) {
+      return false;
     }
     requests--;
     spend(count);
     return true;
   }
 
-  /** With a share of few writes a second, one change must pass once the bucket is full. */
-  private boolean takeLast(Use use) {
-    if (requests < 1 || writes < Math.max(1, use.leaves * writeDepth)) {
+  /** Whether one request with so many changes may go now. */
+  public boolean allows(Use use, int count) {
+    refill();
+    if (requests < 1) {
       return false;
     }
-    requests--;
-    spend(1);
-    return true;
+    double left = use.leaves * writeDepth;
+    if (writes - count >= left - 1e-9) {
+      return true;
+    }
+    // With a share of few writes a second, one change must pass once the bucket is full, and what
+    // can't be divided and is more than this use is ever left: it would wait for good.
+    return count == 1 && writes >= Math.max(1, left)
+        || count > largest(use) && writes >= FULL * writeDepth;
   }
 
   /** Counts a request that can't wait, even beyond the share. */
--- a/src/test/java/io/cherryspool/sim/SimNet.java
+++ b/src/test/java/io/cherryspool/sim/SimNet.java
@@ -6,6 +6,7 @@
 import io.cherryspool.http.Request;
 import io.cherryspool.http.Transport;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -34,6 +35,7 @@
   private final Map<Endpoint, Host> hosts = new HashMap<>();
   private final Set<String> deaf = new HashSet<>();
   private final Set<String> cuts = new HashSet<>();
+  private final Set<String> refused = new HashSet<>();
   private final Set<String> cutZones = new HashSet<>();
   private boolean copies;
   private final Map<String, List<Runnable>> held = new HashMap<>();
@@ -69,6 +71,13 @@
     }
   }
 
+  /** What the one host asks of the other is answered 503 for so long. */
+  void refuse(String from, String to, Duration duration) {
+    if (refused.add(from + ">" + to)) {
+      time.schedule(duration, () -> refused.remove(from + ">" + to));
+    }
+  }
+
   /** The zone reaches nothing outside it and is reached by nothing; inside, all goes on. */
   void cutZone(String zone, Duration duration) {
     if (cutZones.add(zone)) {
@@ -150,6 +159,11 @@
       fail(result, gate, "refused by " + to);
       return;
     }
+    if (refused.contains(from + ">" + to.host())) {
+      Reply trouble = Reply.json(503, "{\"error\":\"trouble\"}".getBytes(StandardCharsets.UTF_8));
+      carry(to.host(), from, () -> gate.pass(() -> result.complete(trouble)));
+      return;
+    }
     host.gate.pass(
         () ->
             host.handler
--- a/src/test/java/io/cherryspool/sim/Simulation.java
+++ b/src/test/java/io/cherryspool/sim/Simulation.java
@@ -64,7 +64,10 @@
   private final StandInCloud cloud;
   private final RuleChecker rules;
   private final List<Team> teams =
-      List.of(new Team("red", 40, 64, 0, 0), new Team("blue", 40, 96, 0, 0));
+      List.of(
+          new Team("red", 40, 64, 0, 0),
+          new Team("blue", 40, 96, 0, 0),
+          new Team("guest", 0, 0, 0, 0));
   private final List<Node> nodes = new ArrayList<>();
   private final Map<String, Endpoint> nodeAddresses = new LinkedHashMap<>();
   private final Map<String, StandInWorker> workers = new TreeMap<>();
@@ -72,6 +75,7 @@
   private boolean meshRefused;
   private int jobCount;
   private double troubleEnd;
+  private int storm = 1;
 
   Simulation(long seed) {
     random = new SplittableRandom(seed);
@@ -195,6 +199,11 @@
       time.schedule(length, () -> alone = false);
     }
 
+    /** The state service refuses this node alone. */
+    void refuse(Duration length) {
+      net.refuse(address.host(), STATE.host(), length);
+    }
+
     /** Does nothing for so long, while its clocks run on. */
     void freeze(Duration length) {
       if (controller != null && !still) {
@@ -335,16 +344,36 @@
       return;
     }
     after(0.5 + random.nextDouble() * 6, this::arrive);
+    boolean broken = random.nextInt(12) == 0;
     int size = 1 + random.nextInt(random.nextInt(10) == 0 ? 80 : 8);
+    arrive(
+        broken ? StandInWorker.BROKEN : "lane",
+        random.nextBoolean() ? "red" : "blue",
+        random.nextInt(3) == 0 ? Priority.HIGH : Priority.NORMAL,
+        size,
+        1 + random.nextInt(8),
+        broken || random.nextInt(6) == 0);
+  }
+
+  /** A team without a guarantee brings one array, or many single tasks at once. */
+  private void visit() {
+    int tasks = random.nextBoolean() ? 1 : 400;
+    for (int i = 0; i < 40; i += tasks) {
+      arrive("visit", "guest", Priority.LOW, tasks, 0.25, false);
+    }
+  }
+
+  private void arrive(
+      String jobClass, String team, Priority priority, int size, double cpus, boolean cancelled) {
     boolean saves = random.nextBoolean();
     Job job =
         new Job(
             String.format("req-%06d", ++jobCount),
-            "lane",
-            random.nextBoolean() ? "red" : "blue",
-            random.nextInt(3) == 0 ? Priority.HIGH : Priority.NORMAL,
+            jobClass,
+            team,
+            priority,
             size,
-            new Resources(1 + random.nextInt(8), 0, 4),
+            new Resources(cpus, 0, Math.min(4, 4 * cpus)),
             "img-" + random.nextInt(3),
             1,
             null,
@@ -359,7 +388,7 @@
             Instant.EPOCH);
     rules.submitted(job);
     submit(job, 0);
-    if (random.nextInt(6) == 0) {
+    if (cancelled) {
       after(random.nextDouble() * 25, () -> cancel(job.id()));
     }
     if (random.nextInt(4) == 0) {
@@ -404,7 +433,7 @@
             rules.told(id, "404");
           }
         });
-    after(rules.ended(id) ? 40 : 5, () -> poll(id));
+    after(rules.ended(id) ? 40 : 5.0 / storm, () -> poll(id));
   }
 
   private void cancel(String id) {
@@ -448,9 +477,17 @@
       return;
     }
     after(3 + random.nextDouble() * 20, this::trouble);
+    if (random.nextInt(3) == 0) {
+      // Two at once, or one in the middle of the other: most rules break where two troubles meet.
+      after(random.nextDouble() * 6, this::strike);
+    }
+    strike();
+  }
+
+  private void strike() {
     Duration length = Duration.ofMillis(2000 + random.nextLong(25_000));
     Node node = nodes.get(random.nextInt(nodes.size()));
-    switch (random.nextInt(19)) {
+    switch (random.nextInt(25)) {
       case 0 -> node.crash(Duration.ofMillis(200 + random.nextLong(8000)));
       case 1 -> nodes.forEach(item -> item.crash(Duration.ofMillis(500 + random.nextLong(8000))));
       case 2 -> {
@@ -491,6 +528,18 @@
       case 15 ->
           net.cutZone(
               ZONES.get(random.nextInt(3)), Duration.ofMillis(5000 + random.nextLong(45_000)));
+      case 18 -> {
+        state.holdBack(0.1 + random.nextDouble() / 2);
+        time.schedule(length, () -> state.holdBack(0));
+      }
+      case 19 -> node.refuse(length);
+      case 20 -> leading().orElse(node).refuse(length);
+      case 21 -> {
+        storm = 8;
+        time.schedule(length, () -> storm = 1);
+      }
+      case 22 -> visit();
+      case 23 -> node.crash(Duration.ofMillis(12_000 + random.nextLong(78_000)));
       case 16 -> {
         meshRefused = true;
         time.schedule(length, () -> meshRefused = false);
--- a/src/test/java/io/cherryspool/sim/StandInState.java
+++ b/src/test/java/io/cherryspool/sim/StandInState.java
@@ -28,6 +28,7 @@
   private final EventLoop loop;
   private final RandomGenerator random;
   private final double late;
+  private double heldBack;
   private final TreeMap<String, Item> keys = new TreeMap<>();
   private final Map<Long, Lease> leases = new HashMap<>();
   private final List<ObjectNode> history = new ArrayList<>();
@@ -63,6 +64,11 @@
     }
   }
 
+  /** So many of the transactions get no answer and are carried out 2 to 12 s later. */
+  void holdBack(double share) {
+    heldBack = share;
+  }
+
   /** The value of a key, or null, for checks. */
   JsonNode peek(String key) {
     Item item = keys.get(key);
@@ -113,6 +119,10 @@
   }
 
   private CompletableFuture<Reply> commit(JsonNode body) {
+    if (heldBack > 0 && random.nextDouble() < heldBack) {
+      loop.schedule(Duration.ofMillis(2000 + random.nextLong(10_000)), () -> apply(body));
+      return new CompletableFuture<>();
+    }
     double luck = random.nextDouble();
     if (luck < late) {
       // Applied without an answer: at once, or after the sender has long given up.
--- a/src/test/java/io/cherryspool/sim/StandInWorker.java
+++ b/src/test/java/io/cherryspool/sim/StandInWorker.java
@@ -28,6 +28,9 @@
 
 /** A stand-in for a worker: reports, obeys, keeps its lease; it can hang, and go on later. */
 public final class StandInWorker implements Handler {
+  /** The class of jobs that were submitted with a mistake. */
+  static final String BROKEN = "broken";
+
   private static final Duration ANSWER_LIMIT = Duration.ofSeconds(4);
 
   private final EventLoop loop;
@@ -283,7 +286,7 @@
               changed = true;
               onStart.accept(this, piece.task);
               Duration run = job.estimate().dividedBy(2).plusMillis(random.nextLong(4000));
-              boolean fails = random.nextDouble() < 0.03;
+              boolean fails = job.jobClass().equals(BROKEN) || random.nextDouble() < 0.03;
               later(fails ? run.dividedBy(3) : run, () -> finish(key, piece, fails));
             }
           });
