Send users on from a node that is cut off the state service, and say so sooner

A node that only the state service had left stayed ready for 4 s and kept its users' connections until the load balancer reset them, 11 s in all, answering 503. In an outage all last read at the same time, and stay ready.

--- a/src/main/java/io/cherryspool/cli/Rehearsal.java
+++ b/src/main/java/io/cherryspool/cli/Rehearsal.java
@@ -44,7 +44,7 @@
     NettyClient client = new NettyClient(loop, SOCKETS);
     controller[0] = Server.controller(settings(any, self), OperatorSettings.DEFAULTS, loop, mesh);
     loop.execute(controller[0]::start);
-    loop.execute(() -> mesh.tell(new Mesh.Word("rehearsal", 1, true, 0, 0)));
+    loop.execute(() -> mesh.tell(new Mesh.Word("rehearsal", 1, true, 0, 0, 0)));
     byte[] body =
         "{\"ref\":\"req-000000\",\"pieces\":[1,2.5,null,true]}".getBytes(StandardCharsets.UTF_8);
     for (Request request :
--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -168,8 +168,11 @@
     timer = loop.schedule(timings.stateLease().dividedBy(WORDS_PER_LEASE), this::tick);
     Duration now = loop.now();
     int writes = (int) Math.ceil(10 * budget.lately());
+    Duration read = replica.confirmed();
+    int silence = read == null ? Integer.MAX_VALUE : (int) now.minus(read).toMillis();
     mesh.tell(
-        new Mesh.Word(settings.name(), replica.term(), reachesState(), strays.count(now), writes));
+        new Mesh.Word(
+            settings.name(), replica.term(), reachesState(), silence, strays.count(now), writes));
     budget.others(
         peers.since(timings.stateLease(), now).stream().mapToInt(Mesh.Word::writes).toArray());
     succession.tick(now, leads());
@@ -251,17 +254,19 @@
       return method.equals("GET") ? done(metrics()) : notAllowed();
     }
     if (path.equals(JOBS)) {
-      return method.equals("POST") ? users.submit(request.body()) : notAllowed();
+      return method.equals("POST")
+          ? users.submit(request.body()).thenApply(this::elsewhere)
+          : notAllowed();
     }
     if (path.startsWith(JOBS + "/")) {
       String rest = path.substring(JOBS.length() + 1);
       if (rest.endsWith(CANCEL)) {
         String id = rest.substring(0, rest.length() - CANCEL.length());
         if (JobWire.isId(id)) {
-          return method.equals("POST") ? users.cancel(id) : notAllowed();
+          return method.equals("POST") ? users.cancel(id).thenApply(this::elsewhere) : notAllowed();
         }
       } else if (JobWire.isId(rest)) {
-        return method.equals("GET") ? users.poll(rest) : notAllowed();
+        return method.equals("GET") ? users.poll(rest).thenApply(this::elsewhere) : notAllowed();
       }
     }
     return done(Reply.json(404, JobWire.error("no such thing")));
@@ -277,13 +282,29 @@
     boolean outage =
         others.stream().noneMatch(Mesh.Word::state)
             && (!others.isEmpty() || settings.peers().isEmpty());
-    boolean ready = replica.loaded() && (reachesState() || outage);
+    boolean ready = replica.loaded() && (reachesState() || outage) && !behind();
     return Reply.json(ready ? 200 : 503, JobWire.error(ready ? "none" : "not ready"));
   }
 
+  /**
+   * Whether another node has read the state well after this one last did: then the service is up,
+   * and users are better served there. In an outage all last read at about the same time, and none
+   * of them must say so of itself.
+   */
+  private boolean behind() {
+    Duration own = replica.confirmed();
+    Duration others = peers.lastReading(timings.stateLease(), loop.now());
+    return own == null || others != null && others.minus(own).compareTo(timings.behind()) > 0;
+  }
+
+  /** A user whom this node can't serve, but another can, is sent back to the load balancer. */
+  private Reply elsewhere(Reply reply) {
+    return reply.status() == 503 && behind() ? reply.asLast() : reply;
+  }
+
   private Reply metrics() {
     byte[] text = metrics.get().getBytes(StandardCharsets.UTF_8);
-    return new Reply(200, text, 0, "text/plain; version=0.0.4; charset=utf-8");
+    return new Reply(200, text, 0, "text/plain; version=0.0.4; charset=utf-8", false);
   }
 
   private Reply report(byte[] body) {
--- a/src/main/java/io/cherryspool/controller/Peers.java
+++ b/src/main/java/io/cherryspool/controller/Peers.java
@@ -22,6 +22,17 @@
     return !words.isEmpty();
   }
 
+  /** When the latest reading of the state was sent by any of them, as far as they said lately. */
+  Duration lastReading(Duration limit, Duration now) {
+    Duration last = null;
+    for (Said said : words.values()) {
+      Duration at = said.at.minusMillis(said.word.silence());
+      boolean fresh = now.minus(said.at).compareTo(limit) < 0 && said.word.state();
+      last = fresh && (last == null || at.compareTo(last) > 0) ? at : last;
+    }
+    return last;
+  }
+
   /** What was said no longer ago than this. */
   List<Mesh.Word> since(Duration limit, Duration now) {
     List<Mesh.Word> result = new ArrayList<>();
--- a/src/main/java/io/cherryspool/controller/Timings.java
+++ b/src/main/java/io/cherryspool/controller/Timings.java
@@ -27,6 +27,14 @@
     return report.multipliedBy(5).dividedBy(4).plusMillis(250);
   }
 
+  /**
+   * How much later than this node another must have read the state for this one to be the one that
+   * is cut off. Each reads at least four times in a state lease.
+   */
+  Duration behind() {
+    return stateLease.multipliedBy(3).dividedBy(8);
+  }
+
   public static Timings of(Settings settings, OperatorSettings operators) {
     Duration lease = settings.workerLease();
     Duration margin = settings.cancelWithin().dividedBy(20).plusSeconds(1);
--- a/src/main/java/io/cherryspool/http/NettyServer.java
+++ b/src/main/java/io/cherryspool/http/NettyServer.java
@@ -187,10 +187,8 @@
                 if (failure != null) {
                   LOG.error("answering {} {} failed", request.method(), request.path(), failure);
                 }
-                write(
-                    ctx,
-                    keep && open <= crowd,
-                    failure == null ? reply : Reply.retry(503, BROKEN, 1));
+                Reply answer = failure == null ? reply : Reply.retry(503, BROKEN, 1);
+                write(ctx, keep && open <= crowd && !answer.last(), answer);
               });
     }
 
--- a/src/main/java/io/cherryspool/mesh/NettyMesh.java
+++ b/src/main/java/io/cherryspool/mesh/NettyMesh.java
@@ -38,7 +38,7 @@
 public final class NettyMesh implements Mesh, Duty {
   private static final Logger LOG = LoggerFactory.getLogger(NettyMesh.class);
   private static final int MAX_FRAME = 4096;
-  private static final int FIELDS = 5;
+  private static final int FIELDS = 6;
   private static final int CONNECT_MS = 1000;
   private static final int QUIET_S = 30;
   private static final int MAX_UNSENT = 16 * 1024;
@@ -141,6 +141,7 @@
       packer.packString(word.node());
       packer.packLong(word.term());
       packer.packBoolean(word.state());
+      packer.packInt(word.silence());
       packer.packInt(word.strays());
       packer.packInt(word.writes());
       return packer.toByteArray();
@@ -160,6 +161,7 @@
           unpacker.unpackLong(),
           unpacker.unpackBoolean(),
           unpacker.unpackInt(),
+          unpacker.unpackInt(),
           unpacker.unpackInt());
     }
   }
--- a/src/test/java/io/cherryspool/controller/SuccessionTest.java
+++ b/src/test/java/io/cherryspool/controller/SuccessionTest.java
@@ -39,7 +39,7 @@
   }
 
   private static Mesh.Word says(String node, boolean state, int strays) {
-    return new Mesh.Word(node, 7, state, strays, 0);
+    return new Mesh.Word(node, 7, state, 0, strays, 0);
   }
 
   @Test
--- a/src/test/java/io/cherryspool/mesh/MeshWordTest.java
+++ b/src/test/java/io/cherryspool/mesh/MeshWordTest.java
@@ -9,7 +9,7 @@
 class MeshWordTest {
   @Test
   void readsWhatItWritesAndRefusesTheRest() throws IOException {
-    Mesh.Word word = new Mesh.Word("node-1", 1L << 40, true, 1650, 237);
+    Mesh.Word word = new Mesh.Word("node-1", 1L << 40, true, 40, 1650, 237);
     assertEquals(word, NettyMesh.decode(NettyMesh.encode(word)));
     assertThrows(IOException.class, () -> NettyMesh.decode(new byte[] {(byte) 0x91, 1}));
   }
