--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -28,6 +28,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -53,7 +54,7 @@
   private final Supplier<Instant> wall;
   private final Supplier<String> metrics;
   private final Map<String, Team> teams = new HashMap<>();
-  private final Map<String, Duration> peersWithState = new HashMap<>();
+  private final Peers peers = new Peers();
   private final Strays strays = new Strays();
   private final Succession succession;
   private final StateClient state;
@@ -65,7 +66,6 @@
   private final CatalogKeeper catalog;
   private final UserApi users;
   private Reign reign;
-  private Duration lastWord;
   private EventLoop.Timer timer;
 
   /** What the node is given to work with. {@code metrics} writes the registry out. */
@@ -90,7 +90,7 @@
     settings.teams().forEach(team -> teams.put(team.name(), team));
     Settings.StateLimits limits = settings.stateLimits();
     int nodes = settings.peers().size() + 1;
-    succession = new Succession(timings, timings.stateLease().dividedBy(WORDS_PER_LEASE));
+    succession = new Succession(peers, timings, timings.stateLease().dividedBy(WORDS_PER_LEASE));
     state = new StateClient(given.transport(), settings.state(), timings.stateCall());
     budget = new Budget(loop, nodes, limits.rps(), limits.writeRps());
     Duration refreshGap = Duration.ofNanos((long) (2e9 * nodes / limits.rps()));
@@ -161,19 +161,20 @@
   /** Word from another node. */
   public void heard(Mesh.Word word) {
     election.hear(word.term());
-    lastWord = loop.now();
-    succession.heard(word, lastWord);
-    if (word.state()) {
-      peersWithState.put(word.node(), loop.now());
-    } else {
-      peersWithState.remove(word.node());
-    }
+    peers.heard(word, loop.now());
   }
 
   private void tick() {
     timer = loop.schedule(timings.stateLease().dividedBy(WORDS_PER_LEASE), this::tick);
     Duration now = loop.now();
-    mesh.tell(new Mesh.Word(settings.name(), replica.term(), reachesState(), strays.count(now)));
+    int writes = (int) Math.ceil(10 * budget.lately());
+    Duration read = replica.confirmed();
+    int silence = read == null ? Integer.MAX_VALUE : (int) now.minus(read).toMillis();
+    mesh.tell(
+        new Mesh.Word(
+            settings.name(), replica.term(), reachesState(), silence, strays.count(now), writes));
+    budget.others(
+        peers.since(timings.stateLease(), now).stream().mapToInt(Mesh.Word::writes).toArray());
     succession.tick(now, leads());
     if (reign != null) {
       Reign.Reach reach = reign.reach();
@@ -253,17 +254,19 @@
       return method.equals("GET") ? done(metrics()) : notAllowed();
     }
     if (path.equals(JOBS)) {
-      return method.equals("POST") ? users.submit(request.body()) : notAllowed();
+      return method.equals("POST")
+          ? users.submit(request.body()).thenApply(this::elsewhere)
+          : notAllowed();
     }
     if (path.startsWith(JOBS + "/")) {
       String rest = path.substring(JOBS.length() + 1);
       if (rest.endsWith(CANCEL)) {
         String id = rest.substring(0, rest.length() - CANCEL.length());
         if (JobWire.isId(id)) {
-          return method.equals("POST") ? users.cancel(id) : notAllowed();
+          return method.equals("POST") ? users.cancel(id).thenApply(this::elsewhere) : notAllowed();
         }
       } else if (JobWire.isId(rest)) {
-        return method.equals("GET") ? users.poll(rest) : notAllowed();
+        return method.equals("GET") ? users.poll(rest).thenApply(this::elsewhere) : notAllowed();
       }
     }
     return done(Reply.json(404, JobWire.error("no such thing")));
@@ -275,23 +278,33 @@
    * others say the same stays ready; one that hears nobody is rather cut off itself.
    */
   private Reply ready() {
-    boolean outage = !othersReachState() && (hearsOthers() || settings.peers().isEmpty());
-    boolean ready = replica.loaded() && (reachesState() || outage);
+    List<Mesh.Word> others = peers.since(timings.stateLease(), loop.now());
+    boolean outage =
+        others.stream().noneMatch(Mesh.Word::state)
+            && (!others.isEmpty() || settings.peers().isEmpty());
+    boolean ready = replica.loaded() && (reachesState() || outage) && !behind();
     return Reply.json(ready ? 200 : 503, JobWire.error(ready ? "none" : "not ready"));
   }
 
-  private boolean othersReachState() {
-    Duration limit = loop.now().minus(timings.stateLease());
-    return peersWithState.values().stream().anyMatch(at -> at.compareTo(limit) > 0);
+  /**
+   * Whether another node has read the state well after this one last did: then the service is up,
+   * and users are better served there. In an outage all last read at about the same time, and none
+   * of them must say so of itself.
+   */
+  private boolean behind() {
+    Duration own = replica.confirmed();
+    Duration others = peers.lastReading(timings.stateLease(), loop.now());
+    return own == null || others != null && others.minus(own).compareTo(timings.behind()) > 0;
   }
 
-  private boolean hearsOthers() {
-    return lastWord != null && loop.now().minus(lastWord).compareTo(timings.stateLease()) < 0;
+  /** A user whom this node can't serve, but another can, is sent back to the load balancer. */
+  private Reply elsewhere(Reply reply) {
+    return reply.status() == 503 && behind() ? reply.asLast() : reply;
   }
 
   private Reply metrics() {
     byte[] text = metrics.get().getBytes(StandardCharsets.UTF_8);
-    return new Reply(200, text, 0, "text/plain; version=0.0.4; charset=utf-8");
+    return new Reply(200, text, 0, "text/plain; version=0.0.4; charset=utf-8", false);
   }
 
   private Reply report(byte[] body) {
