--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -91,8 +91,8 @@
     Settings.StateLimits limits = settings.stateLimits();
     int nodes = settings.peers().size() + 1;
     succession = new Succession(peers, timings, timings.stateLease().dividedBy(WORDS_PER_LEASE));
-    state = new StateClient(given.transport(), settings.state(), timings.stateCall());
     budget = new Budget(loop, nodes, limits.rps(), limits.writeRps());
+    state = new StateClient(loop, budget, given.transport(), settings.state(), timings.stateCall());
     Duration refreshGap = Duration.ofNanos((long) (2e9 * nodes / limits.rps()));
     replica = new Replica(loop, state, budget, refreshGap, timings.stateCall().dividedBy(2));
     election =
--- a/src/main/java/io/cherryspool/controller/Timings.java
+++ b/src/main/java/io/cherryspool/controller/Timings.java
@@ -32,7 +32,7 @@
    * is cut off. Each reads at least four times in a state lease.
    */
   Duration behind() {
-    return stateLease.multipliedBy(3).dividedBy(8);
+    return stateLease.dividedBy(2);
   }
 
   public static Timings of(Settings settings, OperatorSettings operators) {
--- a/src/main/java/io/cherryspool/store/StateClient.java
+++ b/src/main/java/io/cherryspool/store/StateClient.java
@@ -1,6 +1,7 @@
 package io.cherryspool.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.cherryspool.duty.EventLoop;
 import io.cherryspool.http.Endpoint;
 import io.cherryspool.http.Reply;
 import io.cherryspool.http.Request;
@@ -16,11 +17,19 @@
 
 /** The state service's calls. Failures are {@link StateException}s. */
 public final class StateClient {
+  /** After this part of its deadline a transaction without an answer is sent once more. */
+  private static final int IMPATIENCE = 4;
+
+  private final EventLoop loop;
+  private final Budget budget;
   private final Transport transport;
   private final Endpoint service;
   private final Duration deadline;
 
-  public StateClient(Transport transport, Endpoint service, Duration deadline) {
+  public StateClient(
+      EventLoop loop, Budget budget, Transport transport, Endpoint service, Duration deadline) {
+    this.loop = loop;
+    this.budget = budget;
     this.transport = transport;
     this.service = service;
     this.deadline = deadline;
@@ -29,10 +38,67 @@
   /** What became of a transaction: applied, or the conditions that failed. */
   public record CommitResult(boolean applied, Set<String> failed, long revision) {}
 
+  /**
+   * Sends a transaction, and the same once more if there is no answer for a while: an answer may be
+   * lost, or the transaction held up for seconds, while others pass. Its conditions name what it
+   * replaces, so that one copy at most is applied; if the other says so, its conditions fail, and
+   * the caller reads what happened.
+   */
   public CompletableFuture<CommitResult> commit(
       Map<String, Long> conditions, List<StateWire.Change> changes) {
+    Transaction transaction = new Transaction(StateWire.commit(conditions, changes));
+    transaction.send();
+    transaction.timer =
+        loop.schedule(
+            deadline.dividedBy(IMPATIENCE),
+            () -> {
+              if (!transaction.result.isDone()
+                  && budget.allows(Budget.Use.CANCEL, changes.size())) {
+                budget.force(changes.size());
+                transaction.send();
+              }
+            });
+    return transaction.result;
+  }
+
+  /** A transaction with its copies; the first that is answered settles it. */
+  private final class Transaction {
+    private final Request request;
+    private final CompletableFuture<CommitResult> result = new CompletableFuture<>();
+    private Throwable failed;
+    private int open;
+    private EventLoop.Timer timer;
+
+    Transaction(Request request) {
+      this.request = request;
+    }
+
+    void send() {
+      open++;
+      once(request)
+          .whenComplete(
+              (outcome, failure) -> {
+                open--;
+                if (failure == null) {
+                  result.complete(outcome);
+                } else if (failed == null
+                    || StateException.kindOf(failure) == StateException.Kind.UNKNOWN) {
+                  // One copy that was surely not carried out says nothing of the other.
+                  failed = failure;
+                }
+                if (open == 0 && failed != null) {
+                  result.completeExceptionally(failed);
+                }
+                if (result.isDone() && timer != null) {
+                  timer.cancel();
+                }
+              });
+    }
+  }
+
+  private CompletableFuture<CommitResult> once(Request request) {
     return transport
-        .send(service, StateWire.commit(conditions, changes), deadline)
+        .send(service, request, deadline)
         .handle(
             (reply, failure) -> {
               JsonNode body = body(reply, failure, 409);
--- a/src/test/java/io/cherryspool/scheduler/SwarmTest.java
+++ b/src/test/java/io/cherryspool/scheduler/SwarmTest.java
@@ -74,7 +74,7 @@
 
   /**
    * 700 jobs looked at 400 machines each, and a round cost 140 ms of a quarter core. Where each job
-   * looks at all machines this test says that 280,000 and more were looked at.
+   * looks at all machines this test says that 220,057 were looked at.
    */
   @Test
   void aPlanCostsWhatIsPlacedAndNotWhatWaits() {
--- a/src/test/java/io/cherryspool/sim/Simulation.java
+++ b/src/test/java/io/cherryspool/sim/Simulation.java
@@ -487,7 +487,7 @@
   private void strike() {
     Duration length = Duration.ofMillis(2000 + random.nextLong(25_000));
     Node node = nodes.get(random.nextInt(nodes.size()));
-    switch (random.nextInt(25)) {
+    switch (random.nextInt(26)) {
       case 0 -> node.crash(Duration.ofMillis(200 + random.nextLong(8000)));
       case 1 -> nodes.forEach(item -> item.crash(Duration.ofMillis(500 + random.nextLong(8000))));
       case 2 -> {
@@ -539,6 +539,7 @@
         time.schedule(length, () -> storm = 1);
       }
       case 22 -> visit();
+      case 24 -> anyWorker().ifPresent(worker -> worker.sicken(length.multipliedBy(3)));
       case 23 -> node.crash(Duration.ofMillis(12_000 + random.nextLong(78_000)));
       case 16 -> {
         meshRefused = true;
--- a/src/test/java/io/cherryspool/sim/StandInWorker.java
+++ b/src/test/java/io/cherryspool/sim/StandInWorker.java
@@ -55,6 +55,7 @@
   private boolean reporting;
   private boolean hung;
   private boolean dead;
+  private boolean sick;
   private Double notice;
   private boolean changed;
   private Duration lastReport = Duration.ZERO;
@@ -147,6 +148,12 @@
     }
   }
 
+  /** Every task fails here for so long. */
+  void sicken(Duration length) {
+    sick = true;
+    loop.schedule(length, () -> sick = false);
+  }
+
   void warn(double seconds) {
     notice = seconds;
     changed = true;
@@ -286,7 +293,7 @@
               changed = true;
               onStart.accept(this, piece.task);
               Duration run = job.estimate().dividedBy(2).plusMillis(random.nextLong(4000));
-              boolean fails = job.jobClass().equals(BROKEN) || random.nextDouble() < 0.03;
+              boolean fails = sick || job.jobClass().equals(BROKEN) || random.nextDouble() < 0.03;
               later(fails ? run.dividedBy(3) : run, () -> finish(key, piece, fails));
             }
           });
--- a/src/test/java/io/cherryspool/store/GroupCommitTest.java
+++ b/src/test/java/io/cherryspool/store/GroupCommitTest.java
@@ -5,6 +5,7 @@
 
 import io.cherryspool.http.Endpoint;
 import io.cherryspool.http.Reply;
+import io.cherryspool.http.Request;
 import io.cherryspool.sim.StandInState;
 import io.cherryspool.sim.VirtualTime;
 import io.cherryspool.wire.Json;
@@ -20,10 +21,19 @@
 class GroupCommitTest {
   private final VirtualTime time = new VirtualTime();
   private final StandInState state = new StandInState(time, new SplittableRandom(1), 0);
+  private final List<Request> swallowed = new ArrayList<>();
+  private boolean swallow;
   private final StateClient client =
       new StateClient(
+          time,
+          new Budget(time, 1, 1000, 1000),
           (to, request, deadline) -> {
             CompletableFuture<Reply> result = new CompletableFuture<>();
+            if (swallow) {
+              swallow = false;
+              swallowed.add(request);
+              return result;
+            }
             time.schedule(
                 Duration.ofMillis(5), () -> state.handle(request).thenAccept(result::complete));
             return result;
@@ -78,4 +88,16 @@
     long taken = results.stream().filter(f -> !f.isCompletedExceptionally()).count();
     assertTrue(taken >= 4 && taken <= 15, "taken " + taken);
   }
+
+  /** Every third transaction held up for seconds cost each user a second and a try. */
+  @Test
+  void aTransactionThatIsHeldUpGoesOnceMoreAndItsLateCopyChangesNothing() {
+    GroupCommit commits = commits(1000, 100);
+    swallow = true;
+    CompletableFuture<Boolean> result = put(commits, "c/a");
+    run(0.3);
+    assertEquals(true, result.getNow(null));
+    state.handle(swallowed.get(0)).thenAccept(late -> assertEquals(409, late.status()));
+    assertEquals(1, swallowed.size());
+  }
 }
