Count what each rule's guard does

Rounds, lapses, failures, stops, redirected reports, refused requests, machines lost, strays, users' changes waiting, changes left in the budget, connections: all in /metrics.

--- a/src/main/java/io/cherryspool/cli/Rehearsal.java
+++ b/src/main/java/io/cherryspool/cli/Rehearsal.java
@@ -10,6 +10,8 @@
 import io.cherryspool.http.Request;
 import io.cherryspool.mesh.Mesh;
 import io.cherryspool.mesh.NettyMesh;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.net.URISyntaxException;
 import java.nio.charset.StandardCharsets;
@@ -42,7 +44,13 @@
     Endpoint self = new Endpoint("127.0.0.1", server.port());
     NettyMesh mesh = new NettyMesh(loop, List.of(self), word -> controller[0].heard(word));
     NettyClient client = new NettyClient(loop, SOCKETS);
-    controller[0] = Server.controller(settings(any, self), OperatorSettings.DEFAULTS, loop, mesh);
+    controller[0] =
+        Server.controller(
+            settings(any, self),
+            OperatorSettings.DEFAULTS,
+            loop,
+            mesh,
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
     loop.execute(controller[0]::start);
     loop.execute(() -> mesh.tell(new Mesh.Word("rehearsal", 1, true, 0, 0, 0)));
     byte[] body =
--- a/src/main/java/io/cherryspool/cli/Server.java
+++ b/src/main/java/io/cherryspool/cli/Server.java
@@ -9,6 +9,7 @@
 import io.cherryspool.http.NettyServer;
 import io.cherryspool.mesh.Mesh;
 import io.cherryspool.mesh.NettyMesh;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.nio.file.Path;
@@ -54,9 +55,11 @@
             loop,
             platform.peers().stream().map(Settings.Peer::endpoint).toList(),
             word -> controller[0].heard(word));
-    controller[0] = controller(platform, settings.operators(), loop, mesh);
+    PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    controller[0] = controller(platform, settings.operators(), loop, mesh, registry);
     int connections = (int) (platform.fdLimit() * (1 - OWN_SOCKETS));
     NettyServer server = new NettyServer(loop, controller[0], connections);
+    Gauge.builder("cherryspool.connections", server::connections).register(registry);
     try {
       server.bind(platform.listen());
       mesh.bind(platform.mesh());
@@ -78,10 +81,13 @@
     return 0;
   }
 
-  /** A controller on the loop's sockets and the machine's clocks, with metrics of its own. */
+  /** A controller on the loop's sockets and the machine's clocks. */
   static Controller controller(
-      Settings platform, OperatorSettings operators, NettyLoop loop, Mesh mesh) {
-    PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+      Settings platform,
+      OperatorSettings operators,
+      NettyLoop loop,
+      Mesh mesh,
+      PrometheusMeterRegistry registry) {
     return new Controller(
         platform,
         operators,
--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -55,6 +55,7 @@
   private final Supplier<String> metrics;
   private final Map<String, Team> teams = new HashMap<>();
   private final Peers peers = new Peers();
+  private final Meters meters;
   private final Strays strays = new Strays();
   private final Succession succession;
   private final StateClient state;
@@ -86,6 +87,7 @@
     this.mesh = given.mesh();
     this.wall = given.wall();
     this.metrics = given.metrics();
+    this.meters = new Meters(given.registry());
     this.timings = Timings.of(settings, operators);
     settings.teams().forEach(team -> teams.put(team.name(), team));
     Settings.StateLimits limits = settings.stateLimits();
@@ -127,6 +129,12 @@
     Gauge.builder("cherryspool.jobs.accepted", replica::jobCount).register(given.registry());
     Gauge.builder("cherryspool.machines", () -> reign == null ? 0 : reign.fleet().all().size())
         .register(given.registry());
+    Gauge.builder("cherryspool.machines.lost", () -> reign == null ? 0 : reign.reach().lost())
+        .register(given.registry());
+    Gauge.builder("cherryspool.workers.stray", () -> strays.count(loop.now()))
+        .register(given.registry());
+    Gauge.builder("cherryspool.changes.waiting", commits::waiting).register(given.registry());
+    Gauge.builder("cherryspool.changes.left", budget::left).register(given.registry());
   }
 
   @Override
@@ -234,7 +242,11 @@
             settings.deadlineTimes()),
         new Reign.RentalLimits(settings.cloudRps(), settings.listLag(), operators.idleKeep()),
         new Reign.Cluster(
-            new Reign.Authority(election::authorized, election::sole), teams, catalog::types, wall),
+            new Reign.Authority(election::authorized, election::sole),
+            teams,
+            catalog::types,
+            wall,
+            meters),
         timings,
         replica.term(),
         election::hear);
@@ -299,7 +311,11 @@
 
   /** A user whom this node can't serve, but another can, is sent back to the load balancer. */
   private Reply elsewhere(Reply reply) {
-    return reply.status() == 503 && behind() ? reply.asLast() : reply;
+    if (reply.status() != 503) {
+      return reply;
+    }
+    meters.refused.increment();
+    return behind() ? reply.asLast() : reply;
   }
 
   private Reply metrics() {
@@ -326,6 +342,7 @@
     if (other) {
       strays.note(report.machine(), loop.now());
     }
+    meters.redirected.increment();
     return Reply.json(421, WorkerWire.redirect(other ? leader.node() : null));
   }
 
--- a/src/main/java/io/cherryspool/controller/Reign.java
+++ b/src/main/java/io/cherryspool/controller/Reign.java
@@ -111,6 +111,7 @@
             limits,
             cluster.wall(),
             workload,
+            cluster.meters(),
             this::pushAll);
     this.rental =
         new Rental(
@@ -172,7 +173,8 @@
       Authority authority,
       Map<String, Team> teams,
       Supplier<List<MachineType>> catalog,
-      Supplier<Instant> wall) {}
+      Supplier<Instant> wall,
+      Meters meters) {}
 
   /** What the leader may still do: {@code acts} for workers, {@code sole} for the cloud. */
   record Authority(BooleanSupplier acts, BooleanSupplier sole) {}
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -54,6 +54,7 @@
   private final Limits limits;
   private final Supplier<Instant> wall;
   private final Workload workload;
+  private final Meters meters;
   private final Runnable committed;
   private final Set<String> dirty = new LinkedHashSet<>();
   private RoundPlan last = RoundPlan.NOTHING;
@@ -79,6 +80,7 @@
       Limits limits,
       Supplier<Instant> wall,
       Workload workload,
+      Meters meters,
       Runnable committed) {
     this.loop = loop;
     this.replica = replica;
@@ -92,6 +94,7 @@
     this.limits = limits;
     this.wall = wall;
     this.workload = workload;
+    this.meters = meters;
     this.committed = committed;
     this.view =
         new RoundView(
@@ -219,6 +222,7 @@
       return;
     }
     underWay = true;
+    meters.rounds.increment();
     tokens.next();
     int sent = writer.write(units, this::settled);
     if (sent == 0) {
@@ -304,6 +308,11 @@
       }
       return;
     }
+    if (verdict == Judge.Verdict.LAPSED) {
+      meters.lapses.increment();
+    } else if (verdict == Judge.Verdict.FAILED) {
+      meters.failures.increment();
+    }
     if (verdict != Judge.Verdict.ENDED) {
       LOG.info(
           "task {} try {} on {}: {}", owned.id(), attempt.number(), attempt.machine(), verdict);
@@ -340,6 +349,7 @@
                 last.unplaced().stream().map(RoundPlan.Unplaced::job).toList(),
                 limits.deadlineTimes()));
     last = plan;
+    meters.stops.increment(plan.stops().size());
     for (RoundPlan.Assignment item : plan.assignments()) {
       JobEntry entry = replica.job(item.job());
       MachineState machine = fleet.get(item.machine());
--- a/src/main/java/io/cherryspool/store/Budget.java
+++ b/src/main/java/io/cherryspool/store/Budget.java
@@ -94,6 +94,12 @@
             : allWrites * (1 - LEADER_WRITES);
   }
 
+  /** How many changes this node could make at once now. */
+  public double left() {
+    refill();
+    return writes;
+  }
+
   /** How many changes a second this node has made of late. */
   public double lately() {
     refill();
--- a/src/main/java/io/cherryspool/store/GroupCommit.java
+++ b/src/main/java/io/cherryspool/store/GroupCommit.java
@@ -70,6 +70,11 @@
     return result;
   }
 
+  /** How many users' changes wait. */
+  public int waiting() {
+    return cancels.size() + submissions.size();
+  }
+
   private void pump() {
     if (busy || timer != null) {
       return;
