End a job with one change, and clear its records when there is room

A job that is done owns nothing, whatever its records hold: its end is one change, conditional on the versions that the proofs rest on, and the records are cleared when the budget has room. Transactions count their conditions. Rounds that lack writes no longer come faster than what they cost allows.

--- a/src/main/java/io/cherryspool/controller/Ownership.java
+++ b/src/main/java/io/cherryspool/controller/Ownership.java
@@ -93,7 +93,12 @@
     if (entry.outcome() != null) {
       listener.jobEnded(entry);
     }
-    if (entry.outcome() == Outcome.CANCELLED) {
+    if (entry.outcome() == Outcome.DONE) {
+      // All its attempts have ended, which is what its outcome rests on.
+      for (JobEntry.Versioned item : entry.shards().values()) {
+        item.shard().owned().values().forEach(attempt -> remove(entry, attempt));
+      }
+    } else if (entry.outcome() == Outcome.CANCELLED) {
       for (JobEntry.Versioned item : entry.shards().values()) {
         for (Attempt attempt : item.shard().owned().values()) {
           listener.machineTouched(attempt.machine());
@@ -106,6 +111,9 @@
   public void reloaded() {
     byMachine.clear();
     for (JobEntry entry : replica.active()) {
+      if (entry.outcome() == Outcome.DONE) {
+        continue;
+      }
       for (JobEntry.Versioned item : entry.shards().values()) {
         for (Attempt attempt : item.shard().owned().values()) {
           add(entry, attempt);
--- a/src/main/java/io/cherryspool/controller/RoundEdits.java
+++ b/src/main/java/io/cherryspool/controller/RoundEdits.java
@@ -130,8 +130,8 @@
     String id = entry.job().id();
     Map<Integer, Shard> built = new TreeMap<>();
     edit.shards.forEach((index, editor) -> built.put(index, editor.build()));
-    if (ending && built.size() + 1 <= maxChanges) {
-      ranks.ends.add(ending(entry, built));
+    if (ending && built.size() + 2 <= RoundWriter.CONDITIONS * maxChanges) {
+      ranks.ends.add(ending(entry, built.keySet()));
       return;
     }
     built.forEach(
@@ -156,30 +156,24 @@
         });
   }
 
-  /** The job's last tasks and its outcome, together; its progress records go as far as they fit. */
-  private RoundWriter.Unit ending(JobEntry entry, Map<Integer, Shard> built) {
+  /**
+   * The job's outcome, which rests on the ends that are proved and not written yet. They need not
+   * be: a job that is done has no tasks left to tell of, so that one change ends it. Its progress
+   * records go when there is room. With four changes for each single task, of 25 a second, idle
+   * work alone took them all.
+   */
+  private RoundWriter.Unit ending(JobEntry entry, Set<Integer> shards) {
     String id = entry.job().id();
     Map<String, Long> conditions = new LinkedHashMap<>();
-    List<StateWire.Change> changes = new ArrayList<>();
     conditions.put(Records.outcome(id), 0L);
-    changes.add(new StateWire.Change(Records.outcome(id), Records.outcome(Outcome.DONE), 0));
-    boolean whole = entry.shards().size() + 1 <= maxChanges;
-    int bytes = 0;
-    for (Map.Entry<Integer, Shard> item : built.entrySet()) {
-      int index = item.getKey();
+    for (int index : shards) {
       conditions.put(Records.progress(id, index), entry.shard(index).version());
-      if (!whole) {
-        changes.add(
-            new StateWire.Change(Records.progress(id, index), Records.shard(item.getValue()), 0));
-        bytes += Records.sizeOf(item.getValue());
-      }
-    }
-    if (whole) {
-      for (int index : entry.shards().keySet()) {
-        changes.add(new StateWire.Change(Records.progress(id, index), null, 0));
-      }
     }
-    return new RoundWriter.Unit(conditions, changes, bytes, use(entry));
+    return new RoundWriter.Unit(
+        conditions,
+        List.of(new StateWire.Change(Records.outcome(id), Records.outcome(Outcome.DONE), 0)),
+        0,
+        use(entry));
   }
 
   private static Budget.Use use(JobEntry entry) {
@@ -195,13 +189,13 @@
       }
       if (entry.outcome() == null) {
         if (entry.doneCount() == entry.job().tasks()) {
-          units.add(ending(entry, Map.of()));
+          units.add(ending(entry, Set.of()));
         }
         continue;
       }
       for (int index : entry.shards().keySet()) {
         JobEntry.Versioned item = entry.shard(index);
-        if (item.shard().owned().isEmpty()) {
+        if (entry.outcome() == Outcome.DONE || item.shard().owned().isEmpty()) {
           units.add(
               new RoundWriter.Unit(
                   Map.of(Records.progress(id, index), item.version()),
--- a/src/main/java/io/cherryspool/controller/RoundWriter.java
+++ b/src/main/java/io/cherryspool/controller/RoundWriter.java
@@ -25,6 +25,9 @@
   private static final int CHANGE_OVERHEAD = 300;
   private static final Duration AGAIN = Duration.ofMillis(300);
 
+  /** A transaction may have so many times as many conditions as changes, that on the term too. */
+  static final int CONDITIONS = 4;
+
   private final EventLoop loop;
   private final StateClient client;
   private final Budget budget;
@@ -56,16 +59,21 @@
     List<List<Unit>> transactions = new ArrayList<>();
     List<Unit> batch = new ArrayList<>();
     int changes = 0;
+    int conditions = 1;
     int bytes = 0;
     int taken = 0;
     for (Unit unit : units) {
       int count = unit.changes.size();
       int size = unit.bytes + CHANGE_OVERHEAD * count;
-      boolean full = changes + count > maxChanges || bytes + size > MAX_BYTES;
+      boolean full =
+          changes + count > maxChanges
+              || conditions + unit.conditions.size() > CONDITIONS * maxChanges
+              || bytes + size > MAX_BYTES;
       if (full && !batch.isEmpty()) {
         budget.force(changes);
         batch = new ArrayList<>();
         changes = 0;
+        conditions = 1;
         bytes = 0;
       }
       // As many as may go now, and not a batch of the largest size later: starts wait for it.
@@ -77,6 +85,7 @@
       }
       batch.add(unit);
       changes += count;
+      conditions += unit.conditions.size();
       bytes += size;
       taken++;
     }
@@ -85,15 +94,15 @@
     }
     int[] open = {transactions.size()};
     for (List<Unit> transaction : transactions) {
-      Map<String, Long> conditions = new LinkedHashMap<>();
+      Map<String, Long> named = new LinkedHashMap<>();
       List<StateWire.Change> all = new ArrayList<>();
-      conditions.put(Records.TERM, termVersion);
+      named.put(Records.TERM, termVersion);
       for (Unit unit : transaction) {
-        conditions.putAll(unit.conditions);
+        named.putAll(unit.conditions);
         all.addAll(unit.changes);
       }
       send(
-          conditions,
+          named,
           all,
           () -> {
             if (--open[0] == 0 && !stopped) {
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -232,7 +232,8 @@
       LOG.debug(
           "the write budget leaves {} of {} changes for later", units.size() - sent, units.size());
       if (units.get(sent).use() == Budget.Use.ROUND) {
-        timer = loop.schedule(SPENT, this::run);
+        Duration pause = lastCost.multipliedBy(COST_SHARE);
+        timer = loop.schedule(pause.compareTo(SPENT) > 0 ? pause : SPENT, this::run);
       }
     }
   }
--- a/src/main/java/io/cherryspool/store/JobEntry.java
+++ b/src/main/java/io/cherryspool/store/JobEntry.java
@@ -73,8 +73,9 @@
     return outcome == Outcome.DONE ? job.tasks() : done;
   }
 
+  /** How many tasks have an owner; a job that is done has none, whatever its records still hold. */
   public int ownedCount() {
-    return owned;
+    return outcome == Outcome.DONE ? 0 : owned;
   }
 
   /**
