Revert "Rent for idle work last, and spot machines only"

Tried: no renting ahead for idle work, spot machines only, a quarter as eagerly as other work (first form: nothing until it was overdue). Conclusion: guests hardly cause renting, since they use what is idle; the simpler rule, one for all work, stays.

--- a/src/main/java/io/cherryspool/controller/Workload.java
+++ b/src/main/java/io/cherryspool/controller/Workload.java
@@ -1,7 +1,6 @@
 package io.cherryspool.controller;
 
 import io.cherryspool.model.Job;
-import io.cherryspool.model.Priority;
 import io.cherryspool.scheduler.FleetPlan;
 import io.cherryspool.store.JobEntry;
 import io.cherryspool.store.Replica;
@@ -29,9 +28,6 @@
 
   private static final double RISE = 1.6;
 
-  /** How many times as long idle work may take as other work that waits. */
-  private static final double PATIENCE = 4;
-
   /** The first jobs of a service come at once and say nothing of how many will follow. */
   private static final Duration LEAST = Duration.ofSeconds(60);
 
@@ -95,8 +91,8 @@
   }
 
   List<FleetPlan.Load> loads() {
-    // No machine is rented for what does not seem to run anywhere, nor ahead for idle work.
-    recent.values().removeIf(entry -> age(entry.job()).compareTo(WINDOW) >= 0 || ignored(entry));
+    // No machine is rented for what does not seem to run anywhere.
+    recent.values().removeIf(entry -> age(entry.job()).compareTo(WINDOW) >= 0 || doubted(entry));
     List<FleetPlan.Load> result = new ArrayList<>();
     double all = 0;
     double lately = 0;
@@ -123,19 +119,13 @@
         int done = entry.doneCount() + Proofs.done(known);
         int waiting = entry.job().tasks() - done - running;
         if (waiting > 0) {
-          double work = work(entry.job(), waiting);
-          boolean idle = entry.job().priority() == Priority.LOW;
-          result.add(new FleetPlan.Load(entry.job(), 0, 0, idle ? work / PATIENCE : work));
+          result.add(new FleetPlan.Load(entry.job(), 0, 0, work(entry.job(), waiting)));
         }
       }
     }
     return result;
   }
 
-  private boolean ignored(JobEntry entry) {
-    return entry.job().priority() == Priority.LOW || doubted(entry);
-  }
-
   private boolean doubted(JobEntry entry) {
     Collection<Proofs.Proof> known = proofs.ofJob(entry.job().id()).values();
     return entry.doneCount() + Proofs.done(known) == 0 && doubts.doubted(entry);
--- a/src/main/java/io/cherryspool/scheduler/FleetPlan.java
+++ b/src/main/java/io/cherryspool/scheduler/FleetPlan.java
@@ -2,7 +2,6 @@
 
 import io.cherryspool.model.Job;
 import io.cherryspool.model.MachineType;
-import io.cherryspool.model.Priority;
 import io.cherryspool.model.Resources;
 import java.time.Duration;
 import java.time.Instant;
@@ -219,8 +218,8 @@
     Places places = places(job);
     // Whatever the sums say, work does not wait for machines for good.
     boolean overdue =
-        Duration.between(job.submitted(), view.now()).compareTo(horizon(places).multipliedBy(2)) > 0
-            && !(idle(job) && view.incoming().stream().anyMatch(offer -> allows(job, offer)));
+        Duration.between(job.submitted(), view.now()).compareTo(horizon(places).multipliedBy(2))
+            > 0;
     double have = capacity(places);
     while (left > 0) {
       Offer best = cheapest(job, Set.of());
@@ -229,19 +228,9 @@
       }
       left = fillNew(job, left, best);
       have += best.type().size().cpus();
-      // Overdue idle work gets a machine at a time, beyond what the sums allow it.
-      overdue &= !idle(job);
     }
   }
 
-  /**
-   * Work of the lowest priority uses what others leave idle. What is rented for it are spot
-   * machines only, if they will do.
-   */
-  private static boolean idle(Job job) {
-    return job.priority() == Priority.LOW;
-  }
-
   /**
    * How much more the offer costs than the same machine as a spot one: work may wait longer then.
    */
@@ -296,8 +285,7 @@
       for (String zone : type.zones()) {
         for (boolean spot : new boolean[] {true, false}) {
           Offer offer = new Offer(type, zone, spot);
-          boolean wanted = spot || !idle(job) || !job.spotAllowed();
-          if (wanted && allows(job, offer) && !view.soldOut().contains(offer)) {
+          if (allows(job, offer) && !view.soldOut().contains(offer)) {
             // The price of a task's place, with a little against crowding one zone.
             int crowd = crowds.getOrDefault(offer, 0);
             double cost = type.price(spot) / places * (1 + 0.001 * crowd);
