--- a/src/main/java/io/cherryspool/controller/RoundView.java
+++ b/src/main/java/io/cherryspool/controller/RoundView.java
@@ -203,7 +203,6 @@
         type,
         machine.zone,
         machine.spot,
-        true,
         machine.closing,
         free,
         Set.copyOf(machine.images),
--- a/src/main/java/io/cherryspool/scheduler/ClusterView.java
+++ b/src/main/java/io/cherryspool/scheduler/ClusterView.java
@@ -54,7 +54,6 @@
       MachineType type,
       String zone,
       boolean spot,
-      boolean usable,
       boolean closing,
       Resources free,
       Set<String> images,
--- a/src/main/java/io/cherryspool/scheduler/Placement.java
+++ b/src/main/java/io/cherryspool/scheduler/Placement.java
@@ -59,7 +59,7 @@
     this.use = new HashMap<>(view.teamUse());
     this.scarce = view.scarce().subList(0, Math.min(SCARCE_JOBS, view.scarce().size()));
     for (MachineView machine : view.machines()) {
-      if (machine.usable() && machine.free().cpus() > NO_CPUS) {
+      if (machine.free().cpus() > NO_CPUS) {
         bins.add(new Bin(machine));
       }
     }
--- a/src/main/java/io/cherryspool/scheduler/Preemption.java
+++ b/src/main/java/io/cherryspool/scheduler/Preemption.java
@@ -37,12 +37,10 @@
       use.merge(job.team(), job.perTask(), Resources::plus);
     }
     for (MachineView machine : view.machines()) {
-      if (machine.usable()) {
-        Room room = room(machine, taken.getOrDefault(machine.name(), Resources.NONE));
-        rooms.add(room);
-        for (Candidate candidate : room.candidates) {
-          lowest = Math.min(lowest, candidate.rank);
-        }
+      Room room = room(machine, taken.getOrDefault(machine.name(), Resources.NONE));
+      rooms.add(room);
+      for (Candidate candidate : room.candidates) {
+        lowest = Math.min(lowest, candidate.rank);
       }
     }
     for (Room room : rooms) {
