--- /dev/null
+++ b/src/test/java/io/cherryspool/controller/OwnershipTest.java
@@ -0,0 +1,66 @@
+package io.cherryspool.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.cherryspool.model.JobFixture;
+import io.cherryspool.model.Outcome;
+import io.cherryspool.model.Priority;
+import io.cherryspool.model.Shard;
+import io.cherryspool.store.JobEntry;
+import io.cherryspool.store.JobEntryFixture;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Who owns what, as the records change. */
+class OwnershipTest {
+  private final List<Integer> released = new ArrayList<>();
+  private final Ownership ownership = new Ownership(null);
+  private final JobEntry entry =
+      JobEntryFixture.running(JobFixture.job("req-000001", Priority.LOW, 2, 1), 2, "host-1");
+
+  private void listen() {
+    ownership.listen(
+        new Ownership.Listener() {
+          @Override
+          public void machineTouched(String machine) {}
+
+          @Override
+          public void jobTouched(JobEntry touched) {}
+
+          @Override
+          public void jobEnded(JobEntry ended) {}
+
+          @Override
+          public void released(Ownership.Owned owned) {
+            released.add(owned.id().number());
+          }
+
+          @Override
+          public void reloaded() {}
+        });
+    ownership.progressed(entry, Shard.EMPTY, entry.shard(0).shard());
+  }
+
+  /** Its records are cleared much later; until then its machines must count as empty. */
+  @Test
+  void aJobThatIsDoneOwnsNothingWhateverItsRecordsHold() {
+    listen();
+    assertEquals(2, ownership.on("host-1").size());
+    JobEntryFixture.end(entry, Outcome.DONE);
+    ownership.changed(entry);
+    assertEquals(List.of(), ownership.on("host-1"));
+    assertEquals(0, entry.ownedCount());
+    released.sort(null);
+    assertEquals(List.of(0, 1), released);
+  }
+
+  @Test
+  void aCancelledOneOwnsItsTasksUntilTheirEndsAreProved() {
+    listen();
+    JobEntryFixture.end(entry, Outcome.CANCELLED);
+    ownership.changed(entry);
+    assertEquals(2, ownership.on("host-1").size());
+    assertEquals(2, entry.ownedCount());
+  }
+}
--- a/src/test/java/io/cherryspool/controller/RoundEditsTest.java
+++ b/src/test/java/io/cherryspool/controller/RoundEditsTest.java
@@ -95,6 +95,7 @@
         List.of(Records.outcome(ID)),
         units.get(0).changes().stream().map(StateWire.Change::key).toList(),
         "one change ends a job");
+    assertEquals(0L, units.get(0).conditions().get(Records.outcome(ID)), "unless it is cancelled");
     assertEquals(7L, units.get(0).conditions().get(Records.progress(ID, 0)));
     assertEquals(Budget.Use.ROUND, units.get(0).use());
   }
--- a/src/test/java/io/cherryspool/store/JobEntryFixture.java
+++ b/src/test/java/io/cherryspool/store/JobEntryFixture.java
@@ -1,6 +1,7 @@
 package io.cherryspool.store;
 
 import io.cherryspool.model.Job;
+import io.cherryspool.model.Outcome;
 import io.cherryspool.model.Shard;
 
 /** Makes entries for tests outside this package. */
@@ -32,4 +33,8 @@
     entry.setShard(0, new JobEntry.Versioned(editor.build(), 7));
     return entry;
   }
+
+  public static void end(JobEntry entry, Outcome outcome) {
+    entry.setOutcome(outcome);
+  }
 }
