Hold idle work to its part of the writes within one transaction too

Cause: by reading. What can't be divided may take a full bucket; counted with what came before it in the same transaction, any change could. BudgetTest says so when it can.

--- a/src/main/java/io/cherryspool/controller/RoundWriter.java
+++ b/src/main/java/io/cherryspool/controller/RoundWriter.java
@@ -77,7 +77,7 @@
         bytes = 0;
       }
       // As many as may go now, and not a batch of the largest size later: starts wait for it.
-      if (!budget.allows(unit.use, changes + count)) {
+      if (!budget.allows(unit.use, changes, count)) {
         break;
       }
       if (batch.isEmpty()) {
--- a/src/main/java/io/cherryspool/store/Budget.java
+++ b/src/main/java/io/cherryspool/store/Budget.java
@@ -113,7 +113,7 @@
 
   /** Takes one request with so many changes, if this use may have it now. */
   public boolean takeWrites(Use use, int count) {
-    if (!allows(use, count)) {
+    if (!allows(use, 0, count)) {
       return false;
     }
     requests--;
@@ -121,20 +121,21 @@
     return true;
   }
 
-  /** Whether one request with so many changes may go now. */
-  public boolean allows(Use use, int count) {
+  /** Whether so many changes may go now, in one request with some that were allowed already. */
+  public boolean allows(Use use, int before, int count) {
     refill();
     if (requests < 1) {
       return false;
     }
     double left = use.leaves * writeDepth;
-    if (writes - count >= left - 1e-9) {
+    if (writes - before - count >= left - 1e-9) {
       return true;
     }
     // With a share of few writes a second, one change must pass once the bucket is full, and what
     // can't be divided and is more than this use is ever left: it would wait for good.
-    return count == 1 && writes >= Math.max(1, left)
-        || count > largest(use) && writes >= FULL * writeDepth;
+    return before == 0
+        && (count == 1 && writes >= Math.max(1, left)
+            || count > largest(use) && writes >= FULL * writeDepth);
   }
 
   /** Counts a request that can't wait, even beyond the share. */
--- a/src/main/java/io/cherryspool/store/StateClient.java
+++ b/src/main/java/io/cherryspool/store/StateClient.java
@@ -53,7 +53,7 @@
             deadline.dividedBy(IMPATIENCE),
             () -> {
               if (!transaction.result.isDone()
-                  && budget.allows(Budget.Use.CANCEL, changes.size())) {
+                  && budget.allows(Budget.Use.CANCEL, 0, changes.size())) {
                 budget.force(changes.size());
                 transaction.send();
               }
--- a/src/test/java/io/cherryspool/store/BudgetTest.java
+++ b/src/test/java/io/cherryspool/store/BudgetTest.java
@@ -71,10 +71,11 @@
       }
     }
     pass(3000);
+    assertFalse(leader.allows(Budget.Use.IDLE, 20, 10), "nor may it take that bit by bit");
     leader.force(40);
-    assertFalse(leader.allows(Budget.Use.IDLE, 1), "idle work leaves room for the others");
+    assertFalse(leader.allows(Budget.Use.IDLE, 0, 1), "idle work leaves room for the others");
     pass(400);
-    assertTrue(leader.allows(Budget.Use.ROUND, 1) || leader.allows(Budget.Use.SUBMIT, 1));
-    assertFalse(leader.allows(Budget.Use.LATER, 1));
+    assertTrue(leader.allows(Budget.Use.ROUND, 0, 1));
+    assertFalse(leader.allows(Budget.Use.LATER, 0, 1));
   }
 }
