--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/Playground.java
@@ -0,0 +1,159 @@
+package io.cherryspool.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.http.NettyClient;
+import io.cherryspool.http.NettyLoop;
+import io.cherryspool.http.NettyServer;
+import io.cherryspool.model.Job;
+import io.cherryspool.model.MachineType;
+import io.cherryspool.model.Resources;
+import io.cherryspool.store.Records;
+import io.cherryspool.wire.JobWire;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.WireException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * The stand-ins on real sockets of this machine, for whoever wants to see the program at work: a
+ * state service, a cloud, and a worker for each machine it rents. Writes the settings of three
+ * nodes into a folder; see README.
+ */
+public final class Playground {
+  private static final List<String> ZONES = List.of("a", "b", "c");
+  private static final Endpoint STATE = new Endpoint("127.0.0.1", 2379);
+  private static final Endpoint CLOUD = new Endpoint("127.0.0.1", 8443);
+  private static final Duration REPORT = Duration.ofMillis(2500);
+  private static final Duration LEASE = Duration.ofSeconds(16);
+  private static final int MACHINES = 12;
+  private static final int SOCKETS = 64;
+  private static final MachineType BOX =
+      new MachineType(
+          "box", new Resources(16, 0, 64), 50, 0.5, 1, 0.4, Duration.ofSeconds(10), ZONES);
+
+  private final NettyLoop loop = new NettyLoop();
+  private final SplittableRandom random = new SplittableRandom();
+  private final StandInState state = new StandInState(loop, random.split(), 0);
+  private final StandInCloud cloud =
+      new StandInCloud(
+          loop, random.split(), List.of(BOX), MACHINES, "127.1.0.", this::boot, this::end);
+  private final NettyClient client = new NettyClient(loop, SOCKETS);
+  private final Map<String, Endpoint> nodes = new LinkedHashMap<>();
+  private final Map<String, StandInWorker> workers = new HashMap<>();
+
+  private Playground() {
+    for (int i = 0; i < ZONES.size(); i++) {
+      nodes.put("node-" + i, new Endpoint("127.0.0." + (i + 1), 8080));
+    }
+  }
+
+  /** Takes the folder for the settings, and runs until it is stopped. */
+  public static void main(String[] args) throws Exception {
+    if (args.length != 1) {
+      System.err.println("usage: Playground FOLDER");
+      System.exit(2);
+    }
+    new Playground().run(Path.of(args[0]));
+  }
+
+  private void run(Path folder) throws IOException, InterruptedException {
+    new NettyServer(loop, state, SOCKETS).bind(STATE);
+    new NettyServer(loop, cloud, SOCKETS).bind(CLOUD);
+    loop.execute(() -> ZONES.forEach(zone -> cloud.add("box", zone, false, REPORT)));
+    Files.createDirectories(folder);
+    for (int i = 0; i < ZONES.size(); i++) {
+      Path file = folder.resolve("node-" + i + ".json");
+      Files.write(file, Json.bytes(settings(i)));
+      System.out.println("settings of node-" + i + ": " + file);
+    }
+    loop.join();
+  }
+
+  private ObjectNode settings(int index) {
+    ObjectNode root = Json.object().put("host_name", "node-" + index).put("site", ZONES.get(index));
+    root.put("client_listen", nodes.get("node-" + index).toString());
+    root.put("mesh_addr", mesh(index));
+    ArrayNode known = root.putArray("known");
+    for (int i = 0; i < ZONES.size(); i++) {
+      if (i != index) {
+        ObjectNode peer = known.addObject().put("host_name", "node-" + i);
+        peer.put("site", ZONES.get(i)).put("endpoint", mesh(i));
+      }
+    }
+    root.putObject("services").put("cloud", CLOUD.toString()).put("state", STATE.toString());
+    ObjectNode facts = root.putObject("facts");
+    facts.putArray("teams").addObject().put("name", "red").put("cpus", 64.0).put("cpus_max", 128.0);
+    facts
+        .putObject("workers")
+        .put("report_s", REPORT.toMillis() / 1e3)
+        .put("lease_s", (double) LEASE.toSeconds())
+        .put("cancel_s", 36.0);
+    facts
+        .putObject("state")
+        .put("rps", 150.0)
+        .put("write_rps", 60.0)
+        .put("value_kb", 16.0)
+        .put("txn_ops", 48);
+    facts.putObject("cloud").put("rps", 6.0).put("list_lag_s", 6.0);
+    facts.putObject("resources").put("fd_limit", 1000);
+    return root;
+  }
+
+  private String mesh(int index) {
+    return nodes.get("node-" + index).host() + ":8081";
+  }
+
+  private void boot(StandInCloud.Machine machine) {
+    StandInWorker worker =
+        new StandInWorker(
+            loop,
+            random.split(),
+            client,
+            machine,
+            nodes,
+            this::described,
+            REPORT,
+            LEASE,
+            (on, task) -> System.out.println(task + " runs on " + on.machine().name),
+            task -> System.out.println(task + " is done"));
+    workers.put(machine.name, worker);
+    // Binding waits for the loop, on which this runs.
+    new Thread(() -> listen(machine, worker), machine.name).start();
+  }
+
+  private void listen(StandInCloud.Machine machine, StandInWorker worker) {
+    try {
+      new NettyServer(loop, worker, SOCKETS).bind(Endpoint.parse(machine.address()));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void end(StandInCloud.Machine machine) {
+    StandInWorker worker = workers.remove(machine.name);
+    if (worker != null) {
+      worker.die();
+    }
+  }
+
+  /** A worker fetches a job's description by itself; here it is where the service keeps it. */
+  private Job described(String id) {
+    JsonNode record = state.peek(Records.job(id));
+    try {
+      return record == null ? null : JobWire.parse(record.path("job"), Instant.now());
+    } catch (WireException e) {
+      return null;
+    }
+  }
+}
--- a/src/test/java/io/cherryspool/sim/Simulation.java
+++ b/src/test/java/io/cherryspool/sim/Simulation.java
@@ -82,7 +82,15 @@
     net = new SimNet(time, random.split(), host -> zoneByHost.getOrDefault(host, ""));
     rules = new RuleChecker(time, teams, CANCEL);
     state = new StandInState(time, random.split(), 0.01);
-    cloud = new StandInCloud(time, random.split(), List.of(BOX, CRATE), 12, this::boot, this::end);
+    cloud =
+        new StandInCloud(
+            time,
+            random.split(),
+            List.of(BOX, CRATE),
+            12,
+            StandInCloud.NETWORK,
+            this::boot,
+            this::end);
     net.listen(STATE, state);
     net.listen(CLOUD, cloud);
     int count = 3 + random.nextInt(3);
--- a/src/test/java/io/cherryspool/sim/StandInCloud.java
+++ b/src/test/java/io/cherryspool/sim/StandInCloud.java
@@ -23,12 +23,17 @@
 /** A stand-in for the cloud: rents machines, boots workers on them, and tells of them late. */
 public final class StandInCloud implements Handler {
   private static final int PORT = 9000;
+
+  /** Each machine is given the next address after this beginning. */
+  static final String NETWORK = "10.1.0.";
+
   private static final Duration LIST_LAG = Duration.ofSeconds(6);
 
   private final EventLoop loop;
   private final RandomGenerator random;
   private final List<MachineType> types;
   private final int capacity;
+  private final String network;
   private final Consumer<Machine> boot;
   private final Consumer<Machine> end;
   private final TreeMap<String, Machine> machines = new TreeMap<>();
@@ -66,12 +71,14 @@
       RandomGenerator random,
       List<MachineType> types,
       int capacity,
+      String network,
       Consumer<Machine> boot,
       Consumer<Machine> end) {
     this.loop = loop;
     this.random = random;
     this.types = types;
     this.capacity = capacity;
+    this.network = network;
     this.boot = boot;
     this.end = end;
     snapshot();
@@ -156,7 +163,7 @@
     MachineType type =
         types.stream().filter(item -> item.name().equals(typeName)).findFirst().orElseThrow();
     String name = String.format("host-%06d", ++count);
-    Machine machine = new Machine(name, "10.1.0." + count, type, zone, spot, loop.now());
+    Machine machine = new Machine(name, network + count, type, zone, spot, loop.now());
     machines.put(name, machine);
     loop.schedule(
         bootTime,
