--- a/src/test/java/io/cherryspool/scheduler/PlacementTest.java
+++ b/src/test/java/io/cherryspool/scheduler/PlacementTest.java
@@ -60,18 +60,8 @@
 
   private static RoundPlan plan(List<JobView> jobs, List<MachineView> machines, Team team) {
     return Placement.plan(
-        new ClusterView(
-            Instant.EPOCH,
-            Duration.ofSeconds(100),
-            Duration.ofSeconds(120),
-            jobs,
-            machines,
-            Map.of("red", team),
-            Map.of(),
-            Set.of(),
-            List.of(SMALL, LARGE),
-            List.of(),
-            Map.of()));
+        ClusterFixture.of(
+            0, 100, Duration.ofSeconds(120), jobs, machines, team, Map.of(), SMALL, LARGE));
   }
 
   @Test
@@ -157,18 +147,15 @@
     }
     RoundPlan plan =
         Placement.plan(
-            new ClusterView(
-                Instant.EPOCH,
-                Duration.ofSeconds(100),
+            ClusterFixture.of(
+                0,
+                100,
                 Duration.ofSeconds(120),
                 List.of(free(high)),
                 List.of(machine("m", LARGE, running)),
-                Map.of("red", new Team("red", 0, 10, 0, 0)),
+                new Team("red", 0, 10, 0, 0),
                 Map.of("red", normal.perTask().times(2)),
-                Set.of(),
-                List.of(LARGE),
-                List.of(),
-                Map.of()));
+                LARGE));
     assertEquals(1, plan.assignments().size(), "what the limit still allows");
     assertEquals(
         List.of(new TaskId("req-000001", 0)),
--- a/src/test/java/io/cherryspool/scheduler/StarvationTest.java
+++ b/src/test/java/io/cherryspool/scheduler/StarvationTest.java
@@ -116,19 +116,7 @@
       }
     }
     RoundPlan plan =
-        Placement.plan(
-            new ClusterView(
-                Instant.EPOCH.plusSeconds(now),
-                Duration.ofSeconds(now),
-                PATIENCE,
-                views,
-                machines,
-                Map.of("red", team),
-                use,
-                Set.of(),
-                List.of(BOX),
-                List.of(),
-                Map.of()));
+        Placement.plan(ClusterFixture.of(now, now, PATIENCE, views, machines, team, use, BOX));
     for (RoundPlan.Assignment item : plan.assignments()) {
       TaskId task = new TaskId(item.job(), item.task());
       started.put(task, now);
@@ -190,18 +178,8 @@
     }
     RoundPlan plan =
         Placement.plan(
-            new ClusterView(
-                Instant.EPOCH,
-                Duration.ZERO,
-                PATIENCE,
-                views,
-                machines,
-                Map.of("red", new Team("red", 0, 0, 0, 0)),
-                Map.of(),
-                Set.of(),
-                List.of(BOX),
-                List.of(),
-                Map.of()));
+            ClusterFixture.of(
+                0, 0, PATIENCE, views, machines, new Team("red", 0, 0, 0, 0), Map.of(), BOX));
     assertEquals(10, plan.assignments().size());
     assertTrue(plan.considered() <= 20, "looked at " + plan.considered());
   }
--- a/src/test/java/io/cherryspool/scheduler/SwarmTest.java
+++ b/src/test/java/io/cherryspool/scheduler/SwarmTest.java
@@ -15,7 +15,6 @@
 import io.cherryspool.scheduler.ClusterView.MachineView;
 import io.cherryspool.scheduler.ClusterView.RunningTask;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -57,18 +56,15 @@
 
   private RoundPlan plan(int now) {
     return Placement.plan(
-        new ClusterView(
-            Instant.EPOCH.plusSeconds(now),
-            Duration.ofSeconds(now),
+        ClusterFixture.of(
+            now,
+            now,
             Duration.ofSeconds(150),
             jobs,
             machines,
-            Map.of("red", new Team("red", 0, 0, 0, 0)),
+            new Team("red", 0, 0, 0, 0),
             Map.of(),
-            Set.of(),
-            List.of(BOX),
-            List.of(),
-            Map.of()));
+            BOX));
   }
 
   /**
