Keep the bound on cancels: the state lease gives way, not the authority

Cause: Timings.of raised the authority W to the state lease where cancel_s leaves less, so that W, worker lease and margins together could exceed cancel_s without a word. The formula now stands in Settings: check-config refuses, by file and field, a cancel_s that leaves W less than a second; between that and the configured state lease, the state lease is shortened. Ruled out: no site file is concerned (W is 13.8 to 22.6 s there, the state lease 4 s). Seen to fail: TimingsTest with W raised to the state lease again (three of five cases).

--- a/src/main/java/io/cherryspool/config/Settings.java
+++ b/src/main/java/io/cherryspool/config/Settings.java
@@ -39,12 +39,30 @@
   /** Calls, the mesh, files and a few workers and users need so many. */
   private static final int MIN_SOCKETS = 64;
 
+  /** A leader that may act for less than this after its last word would hardly ever act. */
+  private static final Duration MIN_AUTHORITY = Duration.ofSeconds(1);
+
   /** Another controller node. */
   public record Peer(String name, Endpoint endpoint) {}
 
   /** What the state service bears, from all nodes together. */
   public record StateLimits(double rps, double writeRps, int valueBytes, int txnOps) {}
 
+  /**
+   * How long after sending its last confirmed renewal and reading a leader may keep workers alive.
+   * A task on a machine that only a cut-off leader still hears must be gone within the cancel
+   * limit, so authority, worker lease and margins together stay within it. The margins are for
+   * clock drift and for messages late within their deadlines.
+   */
+  public Duration authority() {
+    return authority(workerLease, cancelWithin);
+  }
+
+  private static Duration authority(Duration lease, Duration cancel) {
+    Duration margin = cancel.dividedBy(20).plusSeconds(1);
+    return cancel.minus(lease).minus(margin.multipliedBy(2));
+  }
+
   public static Settings load(Path file) throws ConfigException {
     JsonNode root;
     try {
@@ -88,9 +106,11 @@
     deadlineTimes.values().forEach(Collections::sort);
     Duration lease = workers.seconds("lease_s");
     Duration cancel = workers.seconds("cancel_s");
-    if (cancel.compareTo(lease) <= 0) {
+    if (authority(lease, cancel).compareTo(MIN_AUTHORITY) < 0) {
       throw new ConfigException(
-          origin + ": facts.workers.cancel_s must be longer than facts.workers.lease_s");
+          origin
+              + ": facts.workers.cancel_s is too short for facts.workers.lease_s: a cancelled task"
+              + " that only a cut-off leader keeps alive would outlast it");
     }
     Duration report = workers.seconds("report_s");
     if (lease.compareTo(report.multipliedBy(2)) < 0) {
--- a/src/main/java/io/cherryspool/controller/Timings.java
+++ b/src/main/java/io/cherryspool/controller/Timings.java
@@ -7,10 +7,8 @@
 /**
  * The times that the safety of ownership rests on, from the settings.
  *
- * @param authority how long after sending its last confirmed renewal a leader may keep workers
- *     alive. A task on a machine that only a cut-off leader still hears must be gone within the
- *     cancel limit, so authority, worker lease and margin together stay below it. The margins are
- *     for clock drift and for messages late within their deadlines.
+ * @param authority how long after sending its last confirmed renewal and reading a leader may keep
+ *     workers alive, see {@link Settings#authority()}
  * @param lapse how long after a worker was last kept alive its tasks are surely gone
  */
 public record Timings(
@@ -37,17 +35,17 @@
 
   public static Timings of(Settings settings, OperatorSettings operators) {
     Duration lease = settings.workerLease();
-    Duration margin = settings.cancelWithin().dividedBy(20).plusSeconds(1);
-    Duration authority = settings.cancelWithin().minus(lease).minus(margin.multipliedBy(2));
-    if (authority.compareTo(operators.stateLease()) < 0) {
-      authority = operators.stateLease();
-    }
-    Duration call = operators.stateLease().dividedBy(4);
+    Duration authority = settings.authority();
+    // Where the cancel limit leaves little, leadership is renewed more often: stretching the
+    // authority to the state lease instead would let cancelled tasks outlast the limit.
+    Duration stateLease =
+        authority.compareTo(operators.stateLease()) < 0 ? authority : operators.stateLease();
+    Duration call = stateLease.dividedBy(4);
     return new Timings(
         settings.report(),
         authority,
         lease.plus(lease.dividedBy(500)).plusMillis(500),
-        operators.stateLease(),
+        stateLease,
         call,
         settings.report().compareTo(Duration.ofSeconds(2)) < 0
             ? settings.report()
--- a/src/test/java/io/cherryspool/config/ConfigTest.java
+++ b/src/test/java/io/cherryspool/config/ConfigTest.java
@@ -68,6 +68,7 @@
   @CsvSource({
     "facts/workers,lease_s,4.9",
     "facts/workers,cancel_s,16.0",
+    "facts/workers,cancel_s,21.1",
     "facts/resources,fd_limit,63",
     "facts/state,rps,0",
     "facts/state,write_rps,-1"
@@ -81,6 +82,22 @@
     assertTrue(e.getMessage().contains(parent.replace('/', '.') + "." + field), e.getMessage());
   }
 
+  /**
+   * The limit on cancels is what a leader's authority is made from, so that it can't be given up.
+   */
+  @ParameterizedTest
+  @CsvSource({"16.0,21.2", "16.0,36.0", "22.0,42.0", "24.0,54.0", "30.0,37.0"})
+  void authorityAndWorkerLeaseStayWithinTheCancelLimit(double lease, double cancel)
+      throws Exception {
+    ObjectNode root = good();
+    ((ObjectNode) root.at("/facts/workers")).put("lease_s", lease).put("cancel_s", cancel);
+    Settings settings = Settings.parse(root, "test");
+    Duration margins = settings.cancelWithin().dividedBy(10).plusSeconds(2);
+    assertEquals(
+        settings.cancelWithin(), settings.authority().plus(settings.workerLease()).plus(margins));
+    assertTrue(settings.authority().compareTo(Duration.ofSeconds(1)) >= 0);
+  }
+
   @Test
   void operatorsSettingsAreCheckedAndOptional(@TempDir Path folder) throws Exception {
     Path file = folder.resolve("cherryspool.xml");
--- /dev/null
+++ b/src/test/java/io/cherryspool/controller/TimingsTest.java
@@ -0,0 +1,65 @@
+package io.cherryspool.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cherryspool.config.OperatorSettings;
+import io.cherryspool.config.Settings;
+import io.cherryspool.http.Endpoint;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The bound on cancels holds whatever the operators set. */
+class TimingsTest {
+  private static final Endpoint ANYWHERE = new Endpoint("127.0.0.1", 1);
+
+  private static Settings settings(double lease, double cancel) {
+    return new Settings(
+        "n0",
+        "a",
+        ANYWHERE,
+        ANYWHERE,
+        List.of(),
+        ANYWHERE,
+        ANYWHERE,
+        List.of(),
+        Map.of(),
+        Duration.ofSeconds(2),
+        seconds(lease),
+        seconds(cancel),
+        new Settings.StateLimits(100, 50, 2048, 12),
+        6,
+        Duration.ofSeconds(6),
+        100);
+  }
+
+  private static Duration seconds(double value) {
+    return Duration.ofMillis((long) (value * 1000));
+  }
+
+  /** The authority was raised to the state lease where it was the shorter one. */
+  @ParameterizedTest
+  @CsvSource({"16,36,4", "16,36,60", "16,24,4", "30,37,10", "24,54,1"})
+  void theStateLeaseGivesWayAndNotTheAuthority(double lease, double cancel, double stateLease) {
+    OperatorSettings defaults = OperatorSettings.DEFAULTS;
+    Settings settings = settings(lease, cancel);
+    Timings timings =
+        Timings.of(
+            settings,
+            new OperatorSettings(
+                defaults.roundMax(),
+                seconds(stateLease),
+                defaults.failureCap(),
+                defaults.idleKeep(),
+                defaults.beginWithin()));
+    assertEquals(settings.authority(), timings.authority());
+    assertTrue(timings.stateLease().compareTo(timings.authority()) <= 0);
+    assertTrue(timings.stateLease().compareTo(seconds(stateLease)) <= 0);
+    assertTrue(
+        timings.authority().plus(settings.workerLease()).compareTo(seconds(cancel)) < 0,
+        "a task kept alive to the last is gone within the limit");
+  }
+}
