Bring the gap about in tests; split the simulation's cluster, users and troubles apart

The stand-in network delivered open watches to a refused node, which the protocol says wait: mended, or the old leader would have heard of the cancels. Simulated time did not advance to the end of a run in which nothing happened.

The checker now also counts starts after a cancel, forgotten jobs (75 s), jobs left waiting for 90 s with room, the largest begun within four minutes, impossible jobs accepted.

--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/Cluster.java
@@ -0,0 +1,316 @@
+package io.cherryspool.sim;
+
+import io.cherryspool.config.Settings;
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.model.Job;
+import io.cherryspool.model.MachineType;
+import io.cherryspool.model.Priority;
+import io.cherryspool.model.Resources;
+import io.cherryspool.model.Team;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/**
+ * Controllers among the stand-ins in simulated time, with the rules checked after each step. It
+ * makes no trouble by itself: a directed test brings its own, random days let {@link Troubles} do.
+ */
+final class Cluster {
+  static final List<String> ZONES = List.of("a", "b", "c");
+  static final Endpoint STATE = new Endpoint("10.2.0.1", 2379);
+  static final Duration REPORT = Duration.ofMillis(2500);
+  static final Duration LEASE = Duration.ofSeconds(16);
+  static final Duration CANCEL = Duration.ofSeconds(36);
+  private static final Endpoint CLOUD = new Endpoint("10.2.0.2", 8443);
+
+  private static final MachineType BOX =
+      new MachineType(
+          "box", new Resources(16, 0, 64), 50, 0.5, 1, 0.4, Duration.ofSeconds(8), ZONES);
+
+  /** Too small for the larger tasks, and not to be had everywhere. */
+  private static final MachineType CRATE =
+      new MachineType(
+          "crate",
+          new Resources(4, 0, 16),
+          50,
+          0.5,
+          0.25,
+          0.1,
+          Duration.ofSeconds(5),
+          ZONES.subList(0, 2));
+
+  private static final List<Team> TEAMS =
+      List.of(
+          new Team("red", 40, 64, 0, 0),
+          new Team("blue", 40, 96, 0, 0),
+          new Team("guest", 0, 0, 0, 0));
+
+  private final VirtualTime time = new VirtualTime();
+  private final SplittableRandom random;
+  private final SimNet net;
+  private final StandInState state;
+  private final StandInCloud cloud;
+  private final RuleChecker rules;
+  private final Users users;
+  private final List<ControllerNode> nodes = new ArrayList<>();
+  private final Map<String, Endpoint> nodeAddresses = new LinkedHashMap<>();
+  private final Map<String, StandInWorker> workers = new TreeMap<>();
+  private final Map<String, String> zoneByHost = new HashMap<>();
+  private boolean meshRefused;
+  private int jobCount;
+
+  /** Three to five controllers, and a state service that loses an answer now and then. */
+  static Cluster random(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    return new Cluster(random, 3 + random.nextInt(3), 0.01);
+  }
+
+  /** So many controllers, and nothing lost that the test does not lose itself. */
+  static Cluster of(long seed, int controllers) {
+    return new Cluster(new SplittableRandom(seed), controllers, 0);
+  }
+
+  private Cluster(SplittableRandom random, int controllers, double unanswered) {
+    this.random = random;
+    net = new SimNet(time, random.split(), host -> zoneByHost.getOrDefault(host, ""));
+    rules = new RuleChecker(time, TEAMS, CANCEL);
+    state = new StandInState(time, random.split(), unanswered);
+    cloud =
+        new StandInCloud(
+            time,
+            random.split(),
+            List.of(BOX, CRATE),
+            12,
+            StandInCloud.NETWORK,
+            this::boot,
+            this::end);
+    net.listen(STATE, state);
+    net.listen(CLOUD, cloud);
+    for (int i = 0; i < controllers; i++) {
+      Endpoint address = new Endpoint("10.0.0." + (i + 1), 8080);
+      nodeAddresses.put("node-" + i, address);
+      zoneByHost.put(address.host(), ZONES.get(i % 3));
+      nodes.add(new ControllerNode(this, random.split(), i, address));
+    }
+    users = new Users(time, net, random.split(), rules, List.copyOf(nodeAddresses.values()));
+    nodes.forEach(ControllerNode::begin);
+    for (int i = 0; i < 5; i++) {
+      cloud.add("box", ZONES.get(i % 3), i % 2 == 0, Duration.ofSeconds(1));
+    }
+  }
+
+  VirtualTime time() {
+    return time;
+  }
+
+  SimNet net() {
+    return net;
+  }
+
+  StandInState state() {
+    return state;
+  }
+
+  StandInCloud cloud() {
+    return cloud;
+  }
+
+  RuleChecker rules() {
+    return rules;
+  }
+
+  Users users() {
+    return users;
+  }
+
+  SplittableRandom random() {
+    return random;
+  }
+
+  List<ControllerNode> nodes() {
+    return Collections.unmodifiableList(nodes);
+  }
+
+  /** The machines that are up, by name. */
+  Collection<StandInWorker> workers() {
+    return Collections.unmodifiableCollection(workers.values());
+  }
+
+  /** Those of the machines that run tasks of the job. */
+  List<StandInWorker> running(Job job) {
+    return workers.values().stream()
+        .filter(
+            worker -> worker.onMachine().stream().anyMatch(task -> task.startsWith(job.id() + "/")))
+        .toList();
+  }
+
+  Settings settings(int index) {
+    List<Settings.Peer> peers = new ArrayList<>();
+    for (int i = 0; i < nodeAddresses.size(); i++) {
+      if (i != index) {
+        peers.add(new Settings.Peer("node-" + i, mesh(i)));
+      }
+    }
+    return new Settings(
+        "node-" + index,
+        ZONES.get(index % 3),
+        nodeAddresses.get("node-" + index),
+        mesh(index),
+        peers,
+        CLOUD,
+        STATE,
+        TEAMS,
+        Map.of(),
+        REPORT,
+        LEASE,
+        CANCEL,
+        new Settings.StateLimits(150, 60, 2048, 12),
+        6,
+        Duration.ofSeconds(6),
+        1000);
+  }
+
+  private Endpoint mesh(int index) {
+    return new Endpoint(nodeAddresses.get("node-" + index).host(), 8081);
+  }
+
+  private void boot(StandInCloud.Machine machine) {
+    zoneByHost.put(machine.host, machine.zone);
+    StandInWorker worker =
+        new StandInWorker(
+            time,
+            random.split(),
+            net.from(machine.host, Gate.open()),
+            machine,
+            nodeAddresses,
+            rules::job,
+            REPORT,
+            LEASE,
+            (on, task) -> rules.started(on, task, workers.values()),
+            this::finished);
+    workers.put(machine.name, worker);
+    net.listen(Endpoint.parse(machine.address()), worker);
+  }
+
+  private void finished(String task) {
+    rules.finished(task);
+    users.finished(task);
+  }
+
+  private void end(StandInCloud.Machine machine) {
+    StandInWorker worker = workers.remove(machine.name);
+    if (worker != null) {
+      worker.die();
+      net.close(Endpoint.parse(machine.address()));
+    }
+  }
+
+  /** A job of its own number; any machine and zone will do, and it never saves. */
+  Job job(String team, int tasks, double cpus, Duration run) {
+    // The stand-in workers run a task for half of the estimate and up to 4 s more.
+    return new Job(
+        nextId(),
+        "lane",
+        team,
+        Priority.NORMAL,
+        tasks,
+        new Resources(cpus, 0, Math.min(4, 4 * cpus)),
+        "img-0",
+        1,
+        null,
+        null,
+        false,
+        false,
+        true,
+        run.multipliedBy(2),
+        Duration.ZERO,
+        Duration.ZERO,
+        null,
+        Instant.EPOCH);
+  }
+
+  String nextId() {
+    return String.format("req-%06d", ++jobCount);
+  }
+
+  /** Goes on for so long; a broken rule fails the test at that step. */
+  void run(Duration length) {
+    Duration until = time.now().plus(length);
+    while (time.step(until)) {
+      rules.check(workers.values());
+    }
+  }
+
+  void run(double seconds) {
+    run(Duration.ofNanos((long) (seconds * 1e9)));
+  }
+
+  void after(double seconds, Runnable task) {
+    time.schedule(Duration.ofNanos((long) (seconds * 1e9)), task);
+  }
+
+  Optional<ControllerNode> leading() {
+    return nodes.stream().filter(ControllerNode::leads).findFirst();
+  }
+
+  /** Who leads; a test that calls this rests on there being one. */
+  ControllerNode leader() {
+    return leading().orElseThrow(() -> new AssertionError("nobody leads at " + time.seconds()));
+  }
+
+  /** The controller next to this one. */
+  ControllerNode other(ControllerNode node) {
+    return nodes.get((nodes.indexOf(node) + 1) % nodes.size());
+  }
+
+  boolean meshRefused() {
+    return meshRefused;
+  }
+
+  void refuseMesh(boolean value) {
+    meshRefused = value;
+  }
+
+  void outage(Duration length) {
+    state.setDown(true);
+    time.schedule(length, () -> state.setDown(false));
+  }
+
+  /** Cuts the leader off from all machines, and from nothing else; returns its name. */
+  String cutLeaderFromWorkers(Duration length) {
+    ControllerNode node = leader();
+    workers
+        .values()
+        .forEach(worker -> net.cut(node.address().host(), worker.machine().host, length));
+    return node.name();
+  }
+
+  /** Stops the machine with most tasks, which the cloud does not say for a while. */
+  String killBusiestMachine() {
+    StandInWorker victim =
+        workers.values().stream()
+            .max(Comparator.comparingInt(worker -> worker.onMachine().size()))
+            .orElseThrow();
+    victim.die();
+    return victim.machine().name;
+  }
+
+  boolean rented(String machine) {
+    return cloud.up().stream().anyMatch(item -> item.name.equals(machine));
+  }
+
+  /** How often a worker's lease ran out, over all machines that live. */
+  long leasesLost() {
+    return workers.values().stream().mapToLong(worker -> worker.session() - 1).sum();
+  }
+}
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/ControllerNode.java
@@ -0,0 +1,133 @@
+package io.cherryspool.sim;
+
+import io.cherryspool.config.OperatorSettings;
+import io.cherryspool.controller.Controller;
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.mesh.Mesh;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+
+/** A controller's place, in which processes come and go. */
+final class ControllerNode {
+  private final Cluster cluster;
+  private final RandomGenerator random;
+  private final int index;
+  private final Endpoint address;
+  private Gate gate;
+  private boolean still;
+  private boolean alone;
+  private int life;
+  private Controller controller;
+
+  ControllerNode(Cluster cluster, RandomGenerator random, int index, Endpoint address) {
+    this.cluster = cluster;
+    this.random = random;
+    this.index = index;
+    this.address = address;
+  }
+
+  void begin() {
+    life++;
+    Gate own = new Gate();
+    gate = own;
+    still = false;
+    controller =
+        new Controller(
+            cluster.settings(index),
+            OperatorSettings.DEFAULTS,
+            new Controller.Surroundings(
+                cluster.time().of(own),
+                cluster.net().from(address.host(), own),
+                word -> tell(own, word),
+                new SplittableRandom(random.nextLong()),
+                () -> Instant.EPOCH.plus(cluster.time().now()),
+                name() + "-life-" + life,
+                new SimpleMeterRegistry(),
+                () -> ""));
+    cluster.net().listen(address, controller, own);
+    controller.start();
+  }
+
+  private void tell(Gate own, Mesh.Word word) {
+    if (own.closed() || alone || cluster.meshRefused()) {
+      return;
+    }
+    for (ControllerNode other : cluster.nodes()) {
+      if (other != this && cluster.net().reaches(address.host(), other.address.host())) {
+        cluster.time().schedule(Duration.ofMillis(2), () -> other.hear(word));
+      }
+    }
+  }
+
+  private void hear(Mesh.Word word) {
+    if (controller != null && !alone) {
+      Controller live = controller;
+      gate.pass(() -> live.heard(word));
+    }
+  }
+
+  String name() {
+    return "node-" + index;
+  }
+
+  Endpoint address() {
+    return address;
+  }
+
+  String zone() {
+    return Cluster.ZONES.get(index % Cluster.ZONES.size());
+  }
+
+  /** Whether its process leads now and may act for the controllers. */
+  boolean leads() {
+    return controller != null && controller.leads();
+  }
+
+  /** Loses the state service and the other controllers, but not its workers. */
+  void isolate(Duration length) {
+    alone = true;
+    cutFromState(length);
+    cluster.time().schedule(length, () -> alone = false);
+  }
+
+  void cutFromState(Duration length) {
+    cluster.net().cut(address.host(), Cluster.STATE.host(), length);
+  }
+
+  /** The state service refuses this node alone. */
+  void refuse(Duration length) {
+    cluster.net().refuse(address.host(), Cluster.STATE.host(), length);
+  }
+
+  /** Does nothing for so long, while its clocks run on. */
+  void freeze(Duration length) {
+    if (controller != null && !still) {
+      still = true;
+      Gate own = gate;
+      own.standStill();
+      long seed = random.nextLong();
+      cluster
+          .time()
+          .schedule(
+              length,
+              () -> {
+                if (!own.closed()) {
+                  still = false;
+                  own.goOn(seed);
+                }
+              });
+    }
+  }
+
+  void crash(Duration down) {
+    if (controller != null) {
+      gate.close();
+      controller = null;
+      cluster.net().close(address);
+      cluster.time().schedule(down, this::begin);
+    }
+  }
+}
--- a/src/test/java/io/cherryspool/sim/DeadMachineTest.java
+++ b/src/test/java/io/cherryspool/sim/DeadMachineTest.java
@@ -17,10 +17,10 @@
   void aMachineThatDoesNotAnswerWhenAskedIsGivenUpSoon(long seed) {
     Simulation simulation = new Simulation(seed);
     simulation.playQuietly(60);
-    String machine = simulation.killBusiestMachine();
+    String machine = simulation.cluster().killBusiestMachine();
     simulation.playQuietly(1);
-    assertTrue(simulation.rented(machine));
+    assertTrue(simulation.cluster().rented(machine));
     simulation.playQuietly(5.8);
-    assertFalse(simulation.rented(machine));
+    assertFalse(simulation.cluster().rented(machine));
   }
 }
--- a/src/test/java/io/cherryspool/sim/LostWorkersTest.java
+++ b/src/test/java/io/cherryspool/sim/LostWorkersTest.java
@@ -20,16 +20,16 @@
     Simulation simulation = new Simulation(seed);
     simulation.playQuietly(60);
     if (!mesh) {
-      simulation.refuseMesh();
+      simulation.cluster().refuseMesh(true);
     }
-    long before = simulation.leasesLost();
-    String cut = simulation.cutLeaderFromWorkers(Duration.ofSeconds(60));
+    long before = simulation.cluster().leasesLost();
+    String cut = simulation.cluster().cutLeaderFromWorkers(Duration.ofSeconds(60));
     simulation.playQuietly(14);
-    String next = simulation.leader();
+    String next = simulation.cluster().leader().name();
     assertNotNull(next);
     assertNotEquals(cut, next);
     simulation.playQuietly(60);
-    assertEquals(before, simulation.leasesLost());
-    assertEquals(next, simulation.leader(), "once is enough");
+    assertEquals(before, simulation.cluster().leasesLost());
+    assertEquals(next, simulation.cluster().leader().name(), "once is enough");
   }
 }
--- a/src/test/java/io/cherryspool/sim/RuleChecker.java
+++ b/src/test/java/io/cherryspool/sim/RuleChecker.java
@@ -6,9 +6,12 @@
 import io.cherryspool.model.Team;
 import io.cherryspool.scheduler.Rules;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -16,18 +19,35 @@
  * The users' rules, checked against what the stand-ins really run and what users were really told.
  */
 final class RuleChecker {
+  /** A job about which no question was answered for so long is forgotten. */
+  private static final Duration FORGOTTEN = Duration.ofSeconds(75);
+
+  /** So long a job may wait although a machine that fits has room and its team may use it. */
+  private static final Duration LEFT_WAITING = Duration.ofSeconds(90);
+
+  /** So soon at least half of a class's largest jobs begin. */
+  private static final Duration BEGIN = Duration.ofMinutes(4);
+
+  /** One in so many jobs of a class counts as one of its largest. */
+  private static final int LARGEST = 10;
+
   private final VirtualTime time;
   private final Map<String, Team> teams;
   private final Duration cancelWithin;
   private final Map<String, Job> submitted = new HashMap<>();
-  private final Set<String> accepted = new HashSet<>();
+  private final Map<String, Duration> accepted = new HashMap<>();
   private final Map<String, Duration> cancelAsked = new HashMap<>();
   private final Map<String, Duration> cancelTold = new HashMap<>();
   private final Map<String, String> ended = new HashMap<>();
   private final Map<String, Duration> endTold = new HashMap<>();
   private final Map<String, Set<Integer>> finished = new HashMap<>();
   private final Map<String, Duration> answered = new HashMap<>();
+  private final Map<String, Duration> submittedAt = new HashMap<>();
+  private final Map<String, Duration> begun = new HashMap<>();
+  private final Map<String, Duration> waitingSince = new HashMap<>();
+  private Duration quiet;
   private int starts;
+  private int startsAfterCancel;
   private String breach;
 
   RuleChecker(VirtualTime time, Collection<Team> teams, Duration cancelWithin) {
@@ -39,6 +59,7 @@
 
   void submitted(Job job) {
     submitted.put(job.id(), job);
+    submittedAt.put(job.id(), time.now());
   }
 
   Job job(String id) {
@@ -53,8 +74,20 @@
     return starts;
   }
 
-  Set<String> accepted() {
-    return accepted;
+  /**
+   * Starts after a user was told that the job is cancelled; commands may have been on their way.
+   */
+  int startsAfterCancel() {
+    return startsAfterCancel;
+  }
+
+  /** When a user was first told that the job is cancelled, or null. */
+  Duration cancelTold(String id) {
+    return cancelTold.get(id);
+  }
+
+  boolean isAccepted(String id) {
+    return accepted.containsKey(id);
   }
 
   boolean ended(String id) {
@@ -69,6 +102,8 @@
   void started(StandInWorker on, String task, Collection<StandInWorker> all) {
     starts++;
     String id = TaskId.parse(task).job();
+    begun.putIfAbsent(id, time.now());
+    startsAfterCancel += cancelTold.containsKey(id) ? 1 : 0;
     Job job = submitted.get(id);
     int twins = 0;
     int inZone = 0;
@@ -116,14 +151,19 @@
     finished.computeIfAbsent(id.job(), key -> new HashSet<>()).add(id.number());
   }
 
-  void accepted(String id) {
-    if (accepted.add(id)) {
-      answered.put(id, time.now());
-    }
+  /** How many tasks of the job have completed. */
+  int doneTasks(String id) {
+    return finished.getOrDefault(id, Set.of()).size();
+  }
+
+  /** Whether this is the first time that the job is said to be accepted. */
+  boolean accepted(String id) {
+    answered.putIfAbsent(id, time.now());
+    return accepted.putIfAbsent(id, time.now()) == null;
   }
 
   void refused(String id, int status) {
-    broken(accepted.contains(id) && (status == 400 || status == 422), "forgotten", id);
+    broken(accepted.containsKey(id) && (status == 400 || status == 422), "forgotten", id);
   }
 
   /**
@@ -133,7 +173,8 @@
   void told(String id, String status, Duration sent) {
     answered.put(id, time.now());
     if (status.equals("404")) {
-      broken(accepted.contains(id), "forgotten", id);
+      Duration since = accepted.get(id);
+      broken(since != null && sent.compareTo(since) >= 0, "forgotten", id);
       return;
     }
     broken(!submitted.containsKey(id), "invented", id);
@@ -157,14 +198,100 @@
     endTold.putIfAbsent(id, time.now());
   }
 
-  /** Nobody's polls may stay without an answer for good. */
-  void checkAnswered() {
-    for (String id : accepted) {
-      boolean silent = time.now().minus(answered.get(id)).toSeconds() > 75;
-      broken(silent && !ended.containsKey(id), "forgotten", id + " unanswered");
+  /** From now on there are no troubles any more. */
+  void quietFrom(Duration since) {
+    quiet = since;
+  }
+
+  /** What must not be so for long once all troubles are over; called once a second. */
+  void checkQuiet(Collection<StandInWorker> all) {
+    Map<String, Resources> use = new HashMap<>();
+    Map<StandInWorker, Resources> free = new HashMap<>();
+    Set<String> onMachines = new HashSet<>();
+    for (StandInWorker worker : all) {
+      Resources room = worker.machine().type.size();
+      for (String task : worker.taken()) {
+        Job job = submitted.get(TaskId.parse(task).job());
+        room = room.minus(job.perTask());
+        use.merge(job.team(), job.perTask(), Resources::plus);
+        onMachines.add(task);
+      }
+      free.put(worker, room);
+    }
+    for (String id : accepted.keySet()) {
+      Job job = submitted.get(id);
+      Duration answer = answered.get(id).compareTo(quiet) > 0 ? answered.get(id) : quiet;
+      broken(!ended.containsKey(id) && longer(answer, FORGOTTEN), "forgotten", id + " unanswered");
+      boolean waits =
+          !ended.containsKey(id)
+              && !cancelAsked.containsKey(id)
+              && !job.jobClass().equals(StandInWorker.BROKEN)
+              // Where its other tasks are decides where the next may go; served is checked below.
+              && !job.oneZone()
+              && !job.spread()
+              && waitingTask(job, onMachines);
+      Resources after = use.getOrDefault(job.team(), Resources.NONE).plus(job.perTask());
+      boolean couldRun =
+          waits
+              && teams.get(job.team()).allows(after)
+              && free.entrySet().stream()
+                  .anyMatch(
+                      entry ->
+                          job.perTask().fitsIn(entry.getValue())
+                              && Rules.allows(
+                                  job,
+                                  entry.getKey().machine().type,
+                                  entry.getKey().machine().zone,
+                                  entry.getKey().machine().spot));
+      if (couldRun) {
+        broken(
+            longer(waitingSince.computeIfAbsent(id, key -> time.now()), LEFT_WAITING),
+            "left_waiting",
+            id);
+      } else {
+        waitingSince.remove(id);
+      }
+    }
+  }
+
+  private boolean waitingTask(Job job, Set<String> onMachines) {
+    Set<Integer> done = finished.getOrDefault(job.id(), Set.of());
+    for (int i = 0; i < job.tasks(); i++) {
+      if (!done.contains(i) && !onMachines.contains(job.id() + "/" + i)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** At the end of a day: all is served, and the largest of each class began in time. */
+  void checkServed() {
+    broken(starts == 0, "nothing_ran", "");
+    Map<String, List<Job>> classes = new HashMap<>();
+    for (String id : accepted.keySet()) {
+      broken(!ended.containsKey(id), "unserved", id + " unfinished at the end");
+      Job job = submitted.get(id);
+      if (!cancelAsked.containsKey(id)) {
+        classes.computeIfAbsent(job.jobClass(), key -> new ArrayList<>()).add(job);
+      }
+    }
+    for (List<Job> jobs : classes.values()) {
+      jobs.sort(Comparator.comparingInt(Job::tasks).reversed());
+      List<Job> largest = jobs.subList(0, Math.min(jobs.size(), 1 + jobs.size() / LARGEST));
+      long inTime =
+          largest.stream()
+              .map(Job::id)
+              .filter(id -> begun.containsKey(id))
+              .filter(id -> begun.get(id).minus(submittedAt.get(id)).compareTo(BEGIN) <= 0)
+              .count();
+      broken(2 * inTime < largest.size(), "largest_late", largest.get(0).id());
     }
   }
 
+  private boolean longer(Duration since, Duration limit) {
+    return time.now().minus(since).compareTo(limit) > 0;
+  }
+
   /**
    * Keeps the first breach for {@link #check}: an error thrown inside a future's callback would
    * only fail that future.
--- a/src/test/java/io/cherryspool/sim/SimNet.java
+++ b/src/test/java/io/cherryspool/sim/SimNet.java
@@ -22,22 +22,27 @@
  * The simulated network. A cut between two hosts holds requests and answers and delivers them when
  * it ends, whether or not the sender has given up; a zone may be cut off from everything outside it
  * in the same way. Now and then an answer is lost. A host may be deaf: what it sends arrives, and
- * nothing reaches it. Copies of workers' reports may come late.
+ * nothing reaches it; or mute: it can't open connections, and others reach it. Copies of workers'
+ * reports may come late, or be kept for the next leader.
  */
 final class SimNet {
   private static final double LOST_ANSWER = 0.002;
   private static final double COPIED = 0.02;
   private static final int COPY_LATEST_MS = 70_000;
+  private static final int MOST_KEPT = 200;
 
   private final VirtualTime time;
   private final RandomGenerator random;
   private final UnaryOperator<String> zoneOf;
   private final Map<Endpoint, Host> hosts = new HashMap<>();
   private final Set<String> deaf = new HashSet<>();
+  private final Set<String> mute = new HashSet<>();
   private final Set<String> cuts = new HashSet<>();
   private final Set<String> refused = new HashSet<>();
   private final Set<String> cutZones = new HashSet<>();
+  private final List<Request> kept = new ArrayList<>();
   private boolean copies;
+  private boolean keeping;
   private final Map<String, List<Runnable>> held = new HashMap<>();
 
   /** Who listens at an address, and how it is reached. */
@@ -71,13 +76,18 @@
     }
   }
 
-  /** What the one host asks of the other is answered 503 for so long. */
+  /** What the one host asks of the other is answered 503 for so long; open watches wait. */
   void refuse(String from, String to, Duration duration) {
-    if (refused.add(from + ">" + to)) {
-      time.schedule(duration, () -> refused.remove(from + ">" + to));
+    String way = way(from, to);
+    if (refused.add(way)) {
+      time.schedule(duration, () -> release(refused, way));
     }
   }
 
+  private static String way(String from, String to) {
+    return from + ">" + to;
+  }
+
   /** The zone reaches nothing outside it and is reached by nothing; inside, all goes on. */
   void cutZone(String zone, Duration duration) {
     if (cutZones.add(zone)) {
@@ -123,21 +133,49 @@
     }
   }
 
+  /** The host opens no connection for so long, while others reach it. */
+  void mute(String host, Duration duration) {
+    if (mute.add(host)) {
+      time.schedule(duration, () -> mute.remove(host));
+    }
+  }
+
   /** Whether copies of reports come, from at once to well over a lease later. */
   void copyReports(boolean on) {
     copies = on;
   }
 
+  /** From now on a copy of some reports is kept for {@link #releaseReports}. */
+  void keepReports() {
+    keeping = true;
+  }
+
+  /** The copies kept reach all of these, before anything that is sent from now on. */
+  void releaseReports(Iterable<Endpoint> to) {
+    List<Request> late = List.copyOf(kept);
+    kept.clear();
+    keeping = false;
+    for (Endpoint each : to) {
+      for (Request request : late) {
+        handOver(each, request);
+      }
+    }
+  }
+
+  private void handOver(Endpoint to, Request request) {
+    Host host = hosts.get(to);
+    if (host != null) {
+      host.gate.pass(() -> host.handler.handle(request));
+    }
+  }
+
   private void maybeCopy(Endpoint to, Request request) {
-    if (copies && request.path().equals("/v1/report") && random.nextDouble() < COPIED) {
-      time.schedule(
-          Duration.ofMillis(random.nextInt(COPY_LATEST_MS)),
-          () -> {
-            Host host = hosts.get(to);
-            if (host != null) {
-              host.gate.pass(() -> host.handler.handle(request));
-            }
-          });
+    boolean report = request.path().equals("/v1/report");
+    if (keeping && report && kept.size() < MOST_KEPT) {
+      kept.add(request);
+    }
+    if (copies && report && random.nextDouble() < COPIED) {
+      time.schedule(Duration.ofMillis(random.nextInt(COPY_LATEST_MS)), () -> handOver(to, request));
     }
   }
 
@@ -146,6 +184,9 @@
     return (to, request, deadline) -> {
       CompletableFuture<Reply> result = new CompletableFuture<>();
       time.schedule(deadline, () -> fail(result, gate, "no answer from " + to));
+      if (mute.contains(host)) {
+        return result;
+      }
       maybeCopy(to, request);
       carry(host, to.host(), () -> deliver(host, to, request, result, gate));
       return result;
@@ -159,7 +200,7 @@
       fail(result, gate, "refused by " + to);
       return;
     }
-    if (refused.contains(from + ">" + to.host())) {
+    if (refused.contains(way(from, to.host()))) {
       Reply trouble = Reply.json(503, "{\"error\":\"trouble\"}".getBytes(StandardCharsets.UTF_8));
       carry(to.host(), from, () -> gate.pass(() -> result.complete(trouble)));
       return;
@@ -171,11 +212,20 @@
                 .thenAccept(
                     reply -> {
                       if (random.nextDouble() >= LOST_ANSWER) {
-                        carry(to.host(), from, () -> gate.pass(() -> result.complete(reply)));
+                        answer(from, to.host(), () -> gate.pass(() -> result.complete(reply)));
                       }
                     }));
   }
 
+  private void answer(String from, String to, Runnable arrival) {
+    if (refused.contains(way(from, to))) {
+      held.computeIfAbsent(way(from, to), key -> new ArrayList<>())
+          .add(() -> carry(to, from, arrival));
+    } else {
+      carry(to, from, arrival);
+    }
+  }
+
   private static void fail(CompletableFuture<Reply> result, Gate gate, String why) {
     gate.pass(() -> result.completeExceptionally(new IOException(why)));
   }
--- a/src/test/java/io/cherryspool/sim/SimulationTest.java
+++ b/src/test/java/io/cherryspool/sim/SimulationTest.java
@@ -25,6 +25,8 @@
   void rulesHoldAndWorkIsFinished(long seed) {
     Simulation simulation = new Simulation(seed);
     simulation.play(300, 200);
-    assertTrue(simulation.starts() > 100, "only " + simulation.starts() + " starts");
+    assertTrue(
+        simulation.cluster().rules().starts() > 100,
+        "only " + simulation.cluster().rules().starts() + " starts");
   }
 }
--- a/src/test/java/io/cherryspool/sim/StandInCloud.java
+++ b/src/test/java/io/cherryspool/sim/StandInCloud.java
@@ -41,6 +41,7 @@
   private ObjectNode listed = Json.object();
   private int count;
   private boolean down;
+  private boolean fast;
 
   /** A rented machine. */
   public static final class Machine {
@@ -88,6 +89,11 @@
     down = value;
   }
 
+  /** Whether new machines are up within two seconds. */
+  void bootFast(boolean value) {
+    fast = value;
+  }
+
   /** The machines that the cloud has up. */
   List<Machine> up() {
     return machines.values().stream().filter(machine -> machine.up).toList();
@@ -145,7 +151,7 @@
                 body.path("build").asText(),
                 body.path("yard").asText(),
                 body.path("loaners").booleanValue(),
-                Duration.ofMillis(3000 + random.nextLong(12_000))));
+                Duration.ofMillis(fast ? random.nextLong(2000) : 3000 + random.nextLong(12_000))));
       }
       if (names.isEmpty()) {
         result.complete(Reply.json(503, Json.bytes(Json.object().put("error", "no capacity"))));
--- a/src/test/java/io/cherryspool/sim/StandInState.java
+++ b/src/test/java/io/cherryspool/sim/StandInState.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /**
@@ -29,6 +30,8 @@
   private final RandomGenerator random;
   private final double late;
   private double heldBack;
+  private double unanswered;
+  private Consumer<String> onPut = key -> {};
   private final TreeMap<String, Item> keys = new TreeMap<>();
   private final Map<Long, Lease> leases = new HashMap<>();
   private final List<ObjectNode> history = new ArrayList<>();
@@ -69,6 +72,16 @@
     heldBack = share;
   }
 
+  /** So many of the transactions are carried out at once, and only their answer is lost. */
+  void loseAnswers(double share) {
+    unanswered = share;
+  }
+
+  /** Told of each key as it is put. */
+  void listen(Consumer<String> listener) {
+    onPut = listener;
+  }
+
   /** The value of a key, or null, for checks. */
   JsonNode peek(String key) {
     Item item = keys.get(key);
@@ -123,6 +136,10 @@
       loop.schedule(Duration.ofMillis(2000 + random.nextLong(10_000)), () -> apply(body));
       return new CompletableFuture<>();
     }
+    if (unanswered > 0 && random.nextDouble() < unanswered) {
+      apply(body);
+      return new CompletableFuture<>();
+    }
     double luck = random.nextDouble();
     if (luck < late) {
       // Applied without an answer: at once, or after the sender has long given up.
@@ -163,6 +180,7 @@
         ObjectNode event = Json.object().put("put", key).put("stamp", revision);
         event.set("v", change.path("v"));
         history.add(event);
+        onPut.accept(key);
       }
     }
     wake();
--- a/src/test/java/io/cherryspool/sim/StandInWorker.java
+++ b/src/test/java/io/cherryspool/sim/StandInWorker.java
@@ -126,6 +126,22 @@
     return result;
   }
 
+  /** When the last report that was answered was sent, or the session began. */
+  Duration keptSince() {
+    return keptSince;
+  }
+
+  /** What the machine has for its tasks, those that fetch their image among them, by task. */
+  List<String> taken() {
+    List<String> result = new ArrayList<>();
+    for (Piece piece : pieces.values()) {
+      if (piece.cause == null) {
+        result.add(piece.task);
+      }
+    }
+    return result;
+  }
+
   void die() {
     dead = true;
     pieces.clear();
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/Troubles.java
@@ -0,0 +1,221 @@
+package io.cherryspool.sim;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+/** Makes troubles of every kind, drawn by chance: alone, in pairs and in threes. */
+final class Troubles {
+  private final Cluster cluster;
+  private final SplittableRandom random;
+  private final double end;
+  private final Runnable guests;
+
+  /**
+   * @param end when the last may begin, in seconds
+   * @param guests brings work of a team without a guarantee
+   */
+  Troubles(Cluster cluster, double end, Runnable guests) {
+    this.cluster = cluster;
+    this.random = cluster.random().split();
+    this.end = end;
+    this.guests = guests;
+  }
+
+  void begin() {
+    cluster.after(20, this::next);
+    cluster.state().listen(this::put);
+  }
+
+  private void next() {
+    if (cluster.time().seconds() > end) {
+      return;
+    }
+    cluster.after(3 + random.nextDouble() * 20, this::next);
+    // Two or three at once, or in the middle of one another: most rules break where they meet.
+    for (int more = random.nextInt(6); more > 3; more--) {
+      cluster.after(random.nextDouble() * 6, this::strike);
+    }
+    strike();
+  }
+
+  /** What was kept for the next leader reaches every controller just as that one begins. */
+  private void put(String key) {
+    if (key.equals("c/leader")) {
+      List.of(0, 4, 12, 40)
+          .forEach(
+              wait ->
+                  cluster.after(
+                      wait / 1e3,
+                      () ->
+                          cluster
+                              .net()
+                              .releaseReports(
+                                  cluster.nodes().stream().map(ControllerNode::address).toList())));
+    }
+  }
+
+  private void strike() {
+    Duration length = Duration.ofMillis(2000 + random.nextLong(25_000));
+    ControllerNode node = cluster.nodes().get(random.nextInt(cluster.nodes().size()));
+    ControllerNode leader = cluster.leading().orElse(node);
+    switch (random.nextInt(35)) {
+      case 0 -> node.crash(Duration.ofMillis(200 + random.nextLong(8000)));
+      case 1 ->
+          cluster
+              .nodes()
+              .forEach(item -> item.crash(Duration.ofMillis(500 + random.nextLong(8000))));
+      case 2 -> cluster.outage(length);
+      case 3 -> {
+        cluster.cloud().setDown(true);
+        later(length, () -> cluster.cloud().setDown(false));
+      }
+      case 4 -> node.cutFromState(length);
+      case 5 -> {
+        for (StandInCloud.Machine machine : cluster.cloud().up()) {
+          if (random.nextInt(3) > 0) {
+            cluster.net().cut(node.address().host(), machine.host, length);
+          }
+        }
+      }
+      case 6 -> anyWorker().ifPresent(worker -> worker.hang(length));
+      case 7 -> anyWorker().ifPresent(StandInWorker::die);
+      case 8 ->
+          anyWorker()
+              .ifPresent(
+                  worker -> {
+                    worker.warn(6);
+                    cluster.after(6, () -> cluster.cloud().take(worker.machine().name));
+                  });
+      case 9 -> anyWorker().ifPresent(worker -> cluster.net().deafen(host(worker), length));
+      case 10 -> node.isolate(length);
+      case 11 -> {
+        // Back at once, and maybe gone again in the middle of the election that follows.
+        node.crash(Duration.ofMillis(50 + random.nextLong(400)));
+        cluster.after(0.5 + random.nextDouble(), () -> node.crash(Duration.ofMillis(100)));
+      }
+      case 12 -> leader.isolate(length);
+      case 13 -> node.freeze(length);
+      case 14 -> leader.freeze(Duration.ofMillis(500 + random.nextLong(40_000)));
+      case 15 ->
+          cluster.net().cutZone(anyZone(), Duration.ofMillis(5000 + random.nextLong(45_000)));
+      case 16 -> {
+        cluster.refuseMesh(true);
+        later(length, () -> cluster.refuseMesh(false));
+      }
+      case 17 -> {
+        for (int i = 0; i < cluster.nodes().size(); i++) {
+          ControllerNode each = cluster.nodes().get(i);
+          cluster.after(6 * i, () -> each.crash(Duration.ofMillis(200 + random.nextLong(6000))));
+        }
+      }
+      case 18 -> {
+        cluster.state().holdBack(0.1 + random.nextDouble() / 2);
+        later(length, () -> cluster.state().holdBack(0));
+      }
+      case 19 -> node.refuse(length);
+      case 20 -> leader.refuse(length);
+      case 21 -> {
+        cluster.users().storm(8);
+        later(length, () -> cluster.users().storm(1));
+      }
+      case 22 -> guests.run();
+      case 23 -> node.crash(Duration.ofMillis(12_000 + random.nextLong(78_000)));
+      case 24 -> anyWorker().ifPresent(worker -> worker.sicken(length.multipliedBy(3)));
+      case 25 -> {
+        cluster.state().loseAnswers(0.1 + random.nextDouble() / 2);
+        later(length, () -> cluster.state().loseAnswers(0));
+      }
+      case 26 -> cluster.net().keepReports();
+      case 27 -> someWorkers(worker -> cluster.net().mute(host(worker), length));
+      case 28 -> someWorkers(worker -> cluster.net().deafen(host(worker), length));
+      case 29 -> cancelRunning();
+      case 30 -> {
+        cluster.users().cancelAtEnd(0.5);
+        later(length, () -> cluster.users().cancelAtEnd(0));
+      }
+      case 31 -> {
+        cluster.users().lookClosely(true);
+        later(length, () -> cluster.users().lookClosely(false));
+      }
+      case 32 -> gap(leader);
+      case 33 -> {
+        cluster.cloud().bootFast(true);
+        later(length.multipliedBy(2), () -> cluster.cloud().bootFast(false));
+      }
+      default -> {
+        String zone = anyZone();
+        for (ControllerNode item : cluster.nodes()) {
+          for (StandInCloud.Machine machine : cluster.cloud().up()) {
+            if (machine.zone.equals(zone) != item.zone().equals(zone)) {
+              cluster.net().cut(item.address().host(), machine.host, length);
+            }
+          }
+        }
+      }
+    }
+  }
+
+  /** The leader alone loses the state service, jobs are cancelled, then all lose it for long. */
+  private void gap(ControllerNode leader) {
+    leader.refuse(Duration.ofSeconds(14));
+    double pause = 0.2 + random.nextDouble() * 6;
+    cluster.after(random.nextDouble() * pause, this::cancelRunning);
+    cluster.after(
+        pause,
+        () -> cluster.outage(Cluster.CANCEL.plus(Duration.ofMillis(random.nextLong(15_000)))));
+  }
+
+  /** Some jobs that run are called off at once; some of their machines hang meanwhile. */
+  private void cancelRunning() {
+    List<String> ids =
+        cluster.workers().stream()
+            .flatMap(worker -> worker.onMachine().stream())
+            .map(task -> task.substring(0, task.lastIndexOf('/')))
+            .distinct()
+            .filter(id -> !cluster.rules().cancelWanted(id))
+            .sorted(Comparator.reverseOrder())
+            .limit(1 + random.nextInt(4))
+            .toList();
+    boolean hang = random.nextBoolean();
+    for (String id : ids) {
+      cluster.after(random.nextDouble() / 5, () -> cluster.users().cancel(id));
+      if (hang) {
+        Duration length = Duration.ofMillis(1000 + random.nextLong(30_000));
+        cluster.workers().stream()
+            .filter(worker -> worker.onMachine().stream().anyMatch(task -> task.startsWith(id)))
+            .limit(2)
+            .forEach(worker -> worker.hang(length));
+      }
+    }
+  }
+
+  private void someWorkers(Consumer<StandInWorker> what) {
+    for (StandInWorker worker : List.copyOf(cluster.workers())) {
+      if (random.nextInt(3) == 0) {
+        what.accept(worker);
+      }
+    }
+  }
+
+  private Optional<StandInWorker> anyWorker() {
+    return cluster.workers().isEmpty()
+        ? Optional.empty()
+        : cluster.workers().stream().skip(random.nextInt(cluster.workers().size())).findFirst();
+  }
+
+  private String anyZone() {
+    return Cluster.ZONES.get(random.nextInt(Cluster.ZONES.size()));
+  }
+
+  private static String host(StandInWorker worker) {
+    return worker.machine().host;
+  }
+
+  private void later(Duration delay, Runnable task) {
+    cluster.time().schedule(delay, task);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/Users.java
@@ -0,0 +1,245 @@
+package io.cherryspool.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.http.Request;
+import io.cherryspool.model.Job;
+import io.cherryspool.model.TaskId;
+import io.cherryspool.wire.JobWire;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.WireException;
+import java.time.Duration;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/**
+ * The users: they submit, ask and cancel through any node, come again where they are told to, and
+ * hold what they are told against the rules.
+ */
+final class Users {
+  private static final int MOST_TRIES = 40;
+
+  private final VirtualTime time;
+  private final SimNet net;
+  private final RandomGenerator random;
+  private final RuleChecker rules;
+  private final List<Endpoint> nodes;
+  private int storm = 1;
+  private boolean lookClosely;
+  private double cancelAtEnd;
+
+  Users(
+      VirtualTime time,
+      SimNet net,
+      RandomGenerator random,
+      RuleChecker rules,
+      List<Endpoint> nodes) {
+    this.time = time;
+    this.net = net;
+    this.random = random;
+    this.rules = rules;
+    this.nodes = nodes;
+  }
+
+  /** Questions come so many times as often. */
+  void storm(int factor) {
+    storm = factor;
+  }
+
+  /**
+   * Whether they ask at all nodes, within milliseconds and several times, right after a job was
+   * accepted, ended or confirmed as cancelled, and submit it again.
+   */
+  void lookClosely(boolean value) {
+    lookClosely = value;
+  }
+
+  /** This share of the jobs that end is cancelled at the moment of the end. */
+  void cancelAtEnd(double share) {
+    cancelAtEnd = share;
+  }
+
+  void submit(Job job) {
+    rules.submitted(job);
+    submit(job, anyNode(), 0);
+  }
+
+  /** Submits a known job once more. */
+  void repeat(Job job) {
+    submit(job, anyNode(), 0);
+  }
+
+  private void submit(Job job, Endpoint node, int tries) {
+    ask(
+        node,
+        Request.post("/api/jobs", Json.bytes(JobWire.encode(job))),
+        5,
+        (status, body, sent) -> {
+          if (status == 200 || status == 201) {
+            boolean first = rules.accepted(job.id());
+            told(job.id(), body.path("status").asText(), sent);
+            if (first) {
+              poll(job.id());
+              look(job);
+            }
+          } else if (status == 400 || status == 422) {
+            rules.refused(job.id(), status);
+            rules.broken(true, "refused", job.id() + " with " + status + ": " + body);
+          } else if (tries < MOST_TRIES) {
+            after(1, () -> submit(job, anyNode(), tries + 1));
+          }
+        });
+  }
+
+  /** Submits something that lacks a field, or that no machine and no team can run. */
+  void submitNonsense(Job job) {
+    ObjectNode body = JobWire.encode(job);
+    List<String> fields = List.of("lane", "owner", "shape", "urgency", "pieces", "vcpus", "bundle");
+    switch (random.nextInt(3)) {
+      case 0 -> body.remove(fields.get(random.nextInt(fields.size())));
+      case 1 -> body.put("owner", "nobody");
+      default -> body.put("vcpus", 1000.0);
+    }
+    submitNonsense(body, 0);
+  }
+
+  private void submitNonsense(ObjectNode body, int tries) {
+    ask(
+        anyNode(),
+        Request.post("/api/jobs", Json.bytes(body)),
+        5,
+        (status, answer, sent) -> {
+          rules.broken(status == 200 || status == 201, "accepted what can't run", body.toString());
+          if (status != 400 && status != 422 && tries < MOST_TRIES) {
+            after(1, () -> submitNonsense(body, tries + 1));
+          }
+        });
+  }
+
+  private void poll(String id) {
+    ask(id, anyNode());
+    after(rules.ended(id) ? 40 : 5.0 / storm, () -> poll(id));
+  }
+
+  private void ask(String id, Endpoint node) {
+    ask(
+        node,
+        Request.get("/api/jobs/" + id),
+        2,
+        (status, body, sent) -> {
+          if (status == 200) {
+            told(id, body.path("status").asText(), sent);
+          } else if (status == 404) {
+            told(id, "404", sent);
+          }
+        });
+  }
+
+  /** Asks about a job that nobody submitted, and cancels it. */
+  void askForNothing() {
+    String id = "req-999999";
+    ask(id, anyNode());
+    ask(
+        anyNode(),
+        Request.post("/api/jobs/" + id + "/withdraw", new byte[0]),
+        5,
+        (status, body, sent) -> rules.broken(status == 200, "invented", id));
+  }
+
+  void cancel(String id) {
+    cancel(id, anyNode());
+  }
+
+  void cancel(String id, Endpoint node) {
+    rules.cancelAsked(id);
+    ask(
+        node,
+        Request.post("/api/jobs/" + id + "/withdraw", new byte[0]),
+        5,
+        (status, body, sent) -> {
+          if (status == 200) {
+            told(id, body.path("status").asText(), sent);
+          } else {
+            if (status == 404) {
+              told(id, "404", sent);
+            }
+            after(1, () -> cancel(id, node));
+          }
+        });
+  }
+
+  /** A task is done; some users cancel just as the last one of a job is. */
+  void finished(String task) {
+    String id = TaskId.parse(task).job();
+    if (cancelAtEnd > 0
+        && rules.doneTasks(id) == rules.job(id).tasks()
+        && random.nextDouble() < cancelAtEnd) {
+      after(random.nextDouble() / 5, () -> cancel(id));
+    }
+  }
+
+  private void told(String id, String status, Duration sent) {
+    boolean ended = rules.ended(id);
+    rules.told(id, status, sent);
+    if (rules.ended(id) && !ended) {
+      look(rules.job(id));
+    }
+  }
+
+  private void look(Job job) {
+    if (!lookClosely) {
+      return;
+    }
+    boolean cancel = !rules.ended(job.id()) && random.nextInt(8) == 0;
+    for (Endpoint node : nodes) {
+      for (int i = 0; i < 3; i++) {
+        int way = random.nextInt(4);
+        after(
+            random.nextInt(15) / 1e3,
+            () -> {
+              if (way == 0) {
+                submit(job, node, MOST_TRIES);
+              } else {
+                ask(job.id(), node);
+              }
+            });
+      }
+    }
+    if (cancel) {
+      after(random.nextInt(15) / 1e3, () -> cancel(job.id()));
+    }
+  }
+
+  private Endpoint anyNode() {
+    return nodes.get(random.nextInt(nodes.size()));
+  }
+
+  private void after(double seconds, Runnable task) {
+    time.schedule(Duration.ofNanos((long) (seconds * 1e9)), task);
+  }
+
+  @FunctionalInterface
+  private interface Answer {
+    void take(int status, JsonNode body, Duration sent);
+  }
+
+  private void ask(Endpoint node, Request request, int limit, Answer answer) {
+    Duration sent = time.now();
+    net.from("user", Gate.open())
+        .send(node, request, Duration.ofSeconds(limit))
+        .whenComplete(
+            (reply, failure) -> {
+              try {
+                answer.take(
+                    failure == null ? reply.status() : 0,
+                    failure == null && reply.body().length > 0
+                        ? Json.parseObject(reply.body())
+                        : Json.object(),
+                    sent);
+              } catch (WireException e) {
+                throw new AssertionError(e);
+              }
+            });
+  }
+}
--- a/src/test/java/io/cherryspool/sim/VirtualTime.java
+++ b/src/test/java/io/cherryspool/sim/VirtualTime.java
@@ -43,10 +43,11 @@
     return () -> event.task = null;
   }
 
-  /** Runs the next event; false if there is none before the end. */
+  /** Runs the next event; if there is none before the end, it is the end, and false. */
   public boolean step(Duration end) {
     Event next = events.peek();
     if (next == null || next.at > end.toNanos()) {
+      nanos = Math.max(nanos, end.toNanos());
       return false;
     }
     events.poll();
