--- a/src/test/java/io/cherryspool/sim/Cluster.java
+++ b/src/test/java/io/cherryspool/sim/Cluster.java
@@ -31,6 +31,7 @@
   static final Duration REPORT = Duration.ofMillis(2500);
   static final Duration LEASE = Duration.ofSeconds(16);
   static final Duration CANCEL = Duration.ofSeconds(36);
+  private static final double WRITES = 60;
   private static final Endpoint CLOUD = new Endpoint("10.2.0.2", 8443);
 
   private static final MachineType BOX =
@@ -57,6 +58,8 @@
 
   private final VirtualTime time = new VirtualTime();
   private final SplittableRandom random;
+  private final double writeRate;
+  private final double faults;
   private final SimNet net;
   private final StandInState state;
   private final StandInCloud cloud;
@@ -72,16 +75,28 @@
   /** Three to five controllers, and a state service that loses an answer now and then. */
   static Cluster random(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
-    return new Cluster(random, 3 + random.nextInt(3), 0.01);
+    return new Cluster(random, 3 + random.nextInt(3), 0.01, WRITES, 0.03);
   }
 
   /** So many controllers, and nothing lost that the test does not lose itself. */
   static Cluster of(long seed, int controllers) {
-    return new Cluster(new SplittableRandom(seed), controllers, 0);
+    return of(seed, controllers, WRITES);
   }
 
-  private Cluster(SplittableRandom random, int controllers, double unanswered) {
+  /** As above, with a state service that takes so many changes a second. */
+  static Cluster of(long seed, int controllers, double writeRate) {
+    return new Cluster(new SplittableRandom(seed), controllers, 0, writeRate, 0);
+  }
+
+  private Cluster(
+      SplittableRandom random,
+      int controllers,
+      double unanswered,
+      double writeRate,
+      double faults) {
     this.random = random;
+    this.writeRate = writeRate;
+    this.faults = faults;
     net = new SimNet(time, random.split(), host -> zoneByHost.getOrDefault(host, ""));
     rules = new RuleChecker(time, TEAMS, CANCEL);
     state = new StandInState(time, random.split(), unanswered);
@@ -94,6 +109,7 @@
             StandInCloud.NETWORK,
             this::boot,
             this::end);
+    state.limitWrites(writeRate);
     net.listen(STATE, state);
     net.listen(CLOUD, cloud);
     for (int i = 0; i < controllers; i++) {
@@ -154,6 +170,15 @@
         .toList();
   }
 
+  /** How many tasks of the job run. */
+  int runningTasks(Job job) {
+    return (int)
+        workers.values().stream()
+            .flatMap(worker -> worker.onMachine().stream())
+            .filter(task -> task.startsWith(job.id() + "/"))
+            .count();
+  }
+
   Settings settings(int index) {
     List<Settings.Peer> peers = new ArrayList<>();
     for (int i = 0; i < nodeAddresses.size(); i++) {
@@ -174,7 +199,7 @@
         REPORT,
         LEASE,
         CANCEL,
-        new Settings.StateLimits(150, 60, 2048, 12),
+        new Settings.StateLimits(150, writeRate, 2048, 12),
         6,
         Duration.ofSeconds(6),
         1000);
@@ -196,6 +221,7 @@
             rules::job,
             REPORT,
             LEASE,
+            faults,
             (on, task) -> rules.started(on, task, workers.values()),
             this::finished);
     workers.put(machine.name, worker);
--- a/src/test/java/io/cherryspool/sim/Playground.java
+++ b/src/test/java/io/cherryspool/sim/Playground.java
@@ -125,6 +125,7 @@
             this::described,
             REPORT,
             LEASE,
+            0,
             (on, task) -> System.out.println(task + " runs on " + on.machine().name),
             task -> System.out.println(task + " is done"));
     workers.put(machine.name, worker);
--- a/src/test/java/io/cherryspool/sim/SimNet.java
+++ b/src/test/java/io/cherryspool/sim/SimNet.java
@@ -145,23 +145,26 @@
     copies = on;
   }
 
-  /** From now on a copy of some reports is kept for {@link #releaseReports}. */
+  /** From now on a copy of some reports is kept for {@link #copiesTo}. */
   void keepReports() {
     keeping = true;
   }
 
   /** The copies kept reach all of these, before anything that is sent from now on. */
-  void releaseReports(Iterable<Endpoint> to) {
-    List<Request> late = List.copyOf(kept);
-    kept.clear();
-    keeping = false;
-    for (Endpoint each : to) {
-      for (Request request : late) {
+  void copiesTo(Iterable<Endpoint> all) {
+    for (Endpoint each : all) {
+      for (Request request : List.copyOf(kept)) {
         handOver(each, request);
       }
     }
   }
 
+  /** Keeps no copies any more, and drops those that it kept. */
+  void dropReports() {
+    kept.clear();
+    keeping = false;
+  }
+
   private void handOver(Endpoint to, Request request) {
     Host host = hosts.get(to);
     if (host != null) {
--- a/src/test/java/io/cherryspool/sim/StandInState.java
+++ b/src/test/java/io/cherryspool/sim/StandInState.java
@@ -40,6 +40,10 @@
   private long leaseCount;
   private boolean down;
 
+  private double writeRate = Double.POSITIVE_INFINITY;
+  private double writes;
+  private Duration filled = Duration.ZERO;
+
   private record Item(JsonNode value, long version, long lease) {}
 
   private static final class Lease {
@@ -77,6 +81,24 @@
     unanswered = share;
   }
 
+  /** Above so many puts and deletes a second it answers 429; bursts of one second's worth pass. */
+  void limitWrites(double rate) {
+    writeRate = rate;
+    writes = rate;
+    filled = loop.now();
+  }
+
+  private boolean mayWrite(int count) {
+    Duration now = loop.now();
+    writes = Math.min(writeRate, writes + writeRate * now.minus(filled).toNanos() / 1e9);
+    filled = now;
+    if (writes < count) {
+      return false;
+    }
+    writes -= count;
+    return true;
+  }
+
   /** Told of each key as it is put. */
   void listen(Consumer<String> listener) {
     onPut = listener;
@@ -132,6 +154,9 @@
   }
 
   private CompletableFuture<Reply> commit(JsonNode body) {
+    if (writeRate < Double.POSITIVE_INFINITY && !mayWrite(body.path("apply").size())) {
+      return done(429, Json.object().put("error", "too many writes"));
+    }
     if (heldBack > 0 && random.nextDouble() < heldBack) {
       loop.schedule(Duration.ofMillis(2000 + random.nextLong(10_000)), () -> apply(body));
       return new CompletableFuture<>();
--- a/src/test/java/io/cherryspool/sim/StandInWorker.java
+++ b/src/test/java/io/cherryspool/sim/StandInWorker.java
@@ -42,6 +42,7 @@
   private final Function<String, Job> jobs;
   private final Duration report;
   private final Duration lease;
+  private final double faults;
   private final BiConsumer<StandInWorker, String> onStart;
   private final Consumer<String> onDone;
   private final Map<String, Piece> pieces = new LinkedHashMap<>();
@@ -73,6 +74,9 @@
     }
   }
 
+  /**
+   * @param faults the share of tasks that fail for no reason of the job's or the machine's
+   */
   public StandInWorker(
       EventLoop loop,
       RandomGenerator random,
@@ -82,6 +86,7 @@
       Function<String, Job> jobs,
       Duration report,
       Duration lease,
+      double faults,
       BiConsumer<StandInWorker, String> onStart,
       Consumer<String> onDone) {
     this.loop = loop;
@@ -93,6 +98,7 @@
     this.jobs = jobs;
     this.report = report;
     this.lease = lease;
+    this.faults = faults;
     this.onStart = onStart;
     this.onDone = onDone;
     this.keptSince = loop.now();
@@ -309,7 +315,7 @@
               changed = true;
               onStart.accept(this, piece.task);
               Duration run = job.estimate().dividedBy(2).plusMillis(random.nextLong(4000));
-              boolean fails = sick || job.jobClass().equals(BROKEN) || random.nextDouble() < 0.03;
+              boolean fails = sick || job.jobClass().equals(BROKEN) || random.nextDouble() < faults;
               later(fails ? run.dividedBy(3) : run, () -> finish(key, piece, fails));
             }
           });
--- a/src/test/java/io/cherryspool/sim/Troubles.java
+++ b/src/test/java/io/cherryspool/sim/Troubles.java
@@ -1,5 +1,6 @@
 package io.cherryspool.sim;
 
+import io.cherryspool.http.Endpoint;
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
@@ -45,16 +46,10 @@
   /** What was kept for the next leader reaches every controller just as that one begins. */
   private void put(String key) {
     if (key.equals("c/leader")) {
+      List<Endpoint> all = cluster.nodes().stream().map(ControllerNode::address).toList();
       List.of(0, 4, 12, 40)
-          .forEach(
-              wait ->
-                  cluster.after(
-                      wait / 1e3,
-                      () ->
-                          cluster
-                              .net()
-                              .releaseReports(
-                                  cluster.nodes().stream().map(ControllerNode::address).toList())));
+          .forEach(wait -> cluster.after(wait / 1e3, () -> cluster.net().copiesTo(all)));
+      cluster.after(0.05, cluster.net()::dropReports);
     }
   }
 
