--- a/src/test/java/io/cherryspool/sim/Cluster.java
+++ b/src/test/java/io/cherryspool/sim/Cluster.java
@@ -243,19 +243,40 @@
 
   /** A job of its own number; any machine and zone will do, and it never saves. */
   Job job(String team, int tasks, double cpus, Duration run) {
+    return job(team, Priority.NORMAL, tasks, cpus, run, null, false);
+  }
+
+  /** One that goes before others. */
+  Job urgentJob(String team, int tasks, double cpus, Duration run) {
+    return job(team, Priority.HIGH, tasks, cpus, run, null, false);
+  }
+
+  /** One that may run in a named zone only, or in any, but all of it in the same. */
+  Job boundJob(String team, int tasks, double cpus, Duration run, String zone, boolean oneZone) {
+    return job(team, Priority.NORMAL, tasks, cpus, run, zone, oneZone);
+  }
+
+  private Job job(
+      String team,
+      Priority priority,
+      int tasks,
+      double cpus,
+      Duration run,
+      String zone,
+      boolean oneZone) {
     // The stand-in workers run a task for half of the estimate and up to 4 s more.
     return new Job(
         nextId(),
         "lane",
         team,
-        Priority.NORMAL,
+        priority,
         tasks,
         new Resources(cpus, 0, Math.min(4, 4 * cpus)),
         "img-0",
         1,
         null,
-        null,
-        false,
+        zone,
+        oneZone,
         false,
         true,
         run.multipliedBy(2),
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/LeaderMeetingsTest.java
@@ -0,0 +1,213 @@
+package io.cherryspool.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cherryspool.model.Job;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Predicate;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Meetings in which leaders come and go; the rules are checked after every step. */
+class LeaderMeetingsTest extends MeetingFixture {
+
+  /** Workers and users still reach the leader that reaches nobody; another is elected. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  void jobsAreCancelledThroughTheNextLeaderWhileTheOldOneIsStillReached(long seed) {
+    settle(seed, 3 + (int) seed % 3);
+    Job job = submit("blue", 12, 4, LONG);
+    awaitRunning(job, 12);
+    ControllerNode old = cluster.leader();
+    old.isolate(Duration.ofSeconds(45));
+    ControllerNode next = null;
+    for (int i = 0; i < 10_000 && next == null; i++) {
+      cluster.run(0.001);
+      next =
+          cluster.nodes().stream()
+              .filter(node -> node != old && node.leads())
+              .findFirst()
+              .orElse(null);
+    }
+    assertNotNull(next, "another is elected");
+    assertTrue(old.leads(), "the old one still answers its workers");
+    cluster.users().cancel(job.id(), next.address());
+    cluster.run(0.2);
+    assertNotNull(cluster.rules().cancelTold(job.id()));
+    cluster.run(Cluster.CANCEL.plusMillis(100));
+    assertEquals(0, cluster.runningTasks(job));
+    cluster.run(40);
+  }
+
+  /** Machines with long tasks can't be reached, or don't hear the next leader's answers. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void aLeaderEndsWhileMachinesWithLongTasksCannotBeAsked(long seed) {
+    settle(seed, 3);
+    Job job = submit("blue", 16, 4, Duration.ofSeconds(40));
+    awaitRunning(job, 16);
+    List<StandInWorker> lost = cluster.running(job).stream().limit(3).toList();
+    Duration length = Duration.ofSeconds(8 + 4 * seed);
+    cluster.net().deafen(host(lost.get(0)), length);
+    cluster.net().mute(host(lost.get(1)), length);
+    for (ControllerNode node : cluster.nodes()) {
+      cluster.net().cut(node.address().host(), host(lost.get(2)), length);
+    }
+    cluster.run(0.5);
+    ControllerNode old = cluster.leader();
+    old.crash(Duration.ofSeconds(30));
+    cluster.run(8);
+    assertNotEquals(old.name(), cluster.leader().name());
+    cluster.run(120);
+    allEnd(List.of(job));
+  }
+
+  /** Hand over and back, all end, one returns, within a second. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  void controllersHandOverAndBackThenAllEndAndOneReturns(long seed) {
+    settle(seed, 3);
+    Job job = submit("blue", 16, 4, Duration.ofSeconds(60));
+    Job cancelled = submit("red", 8, 4, LONG);
+    awaitRunning(job, 16);
+    cluster.run(10);
+    ControllerNode first = cluster.leader();
+    cluster.cutLeaderFromWorkers(Duration.ofSeconds(14));
+    cluster.run(15);
+    assertNotEquals(first.name(), cluster.leader().name(), "handed over");
+    cluster.cutLeaderFromWorkers(Duration.ofSeconds(9));
+    cluster.users().cancel(cancelled.id());
+    cluster.run(0.1 * seed);
+    for (ControllerNode node : cluster.nodes()) {
+      node.crash(node == first ? Duration.ofMillis(100 + 130 * seed) : Duration.ofSeconds(20));
+    }
+    cluster.run(12);
+    assertEquals(first.name(), cluster.leader().name(), "the one that returned");
+    cluster.run(90);
+    allEnd(List.of(job, cancelled));
+  }
+
+  /** Ten in two minutes, some of the changes inside an outage of the state service. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void leadersChangeTenTimesInTwoMinutes(long seed) {
+    settle(seed, 3);
+    Job job = submit("blue", 24, 4, Duration.ofSeconds(35));
+    Job cancelled = submit("red", 8, 4, LONG);
+    awaitRunning(job, 8);
+    cluster.after(40 + seed, () -> cluster.outage(Duration.ofSeconds(15)));
+    cluster.after(45, () -> cluster.users().cancel(cancelled.id()));
+    for (int i = 0; i < 10; i++) {
+      cluster.after(
+          12 * i,
+          () ->
+              cluster
+                  .leading()
+                  .orElse(cluster.nodes().get(0))
+                  .crash(Duration.ofMillis(100 + 400 * seed)));
+    }
+    cluster.run(125);
+    cluster.run(90);
+    allEnd(List.of(job, cancelled));
+  }
+
+  /** For longer than a worker's lease nobody answers; then all is taken up again. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void allControllersAreAwayForLongerThanALease(long seed) {
+    settle(seed, 3);
+    Job job = submit("blue", 16, 4, Duration.ofSeconds(30));
+    awaitRunning(job, 16);
+    long before = cluster.leasesLost();
+    cluster
+        .nodes()
+        .forEach(node -> node.crash(Cluster.LEASE.plusSeconds(4).plusMillis(300 * seed)));
+    cluster.run(Cluster.LEASE.plusSeconds(3));
+    assertTrue(cluster.leasesLost() > before, "their tasks are gone");
+    assertFalse(cluster.rules().ended(job.id()));
+    cluster.run(100);
+    allEnd(List.of(job));
+  }
+
+  /** A zone with workers and a controller, the leader in some of the days, is away for long. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  void aZoneIsCutOffForLongerThanALease(long seed) {
+    settle(seed, 3);
+    Job job = submit("blue", 16, 4, Duration.ofSeconds(40));
+    Job cancelled = submit("red", 8, 4, LONG);
+    awaitRunning(job, 8);
+    awaitRunning(cancelled, 4);
+    String zone = seed % 2 == 0 ? cluster.leader().zone() : Cluster.ZONES.get((int) seed % 3);
+    cluster.net().cutZone(zone, Cluster.LEASE.plusSeconds(5 + 5 * seed));
+    cluster.run(2);
+    ControllerNode outside =
+        cluster.nodes().stream()
+            .filter(node -> !node.zone().equals(zone))
+            .findFirst()
+            .orElseThrow();
+    cluster.users().cancel(cancelled.id(), outside.address());
+    cluster.run(140);
+    allEnd(List.of(job, cancelled));
+  }
+
+  /** Jobs that may run in one zone only, arrays too, lose the machines there with the leader. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void jobsBoundToOneZoneLoseMachines(long seed) {
+    settle(seed, 3);
+    String zone = Cluster.ZONES.get((int) seed % 3);
+    Job bound = cluster.boundJob("blue", 6, 4, Duration.ofSeconds(15), zone, false);
+    Job together = cluster.boundJob("red", 6, 4, Duration.ofSeconds(15), null, true);
+    cluster.users().submit(bound);
+    cluster.users().submit(together);
+    awaitRunning(bound, 2);
+    awaitRunning(together, 2);
+    cluster.running(bound).forEach(StandInWorker::die);
+    cluster.running(together).stream().limit(1).forEach(StandInWorker::die);
+    cluster.leader().crash(Duration.ofMillis(200 * seed));
+    cluster.run(150);
+    allEnd(List.of(bound, together));
+  }
+
+  /**
+   * A leader is cut off with its zone and keeps the machines there alive as long as it may, while
+   * the cloud deletes nothing: only time proves their tasks gone, so the next leader has to wait
+   * for the authority of the first to end, and then for the workers' lease.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  void aCutOffLeaderKeepsItsZoneAliveWhileTheCloudIsOut(long seed) {
+    settle(seed, 3);
+    Job job = submit("blue", 20, 4, LONG);
+    awaitRunning(job, 18);
+    ControllerNode old = cluster.leader();
+    cluster.net().cutZone(old.zone(), Duration.ofSeconds(60));
+    for (int i = 0; i < 1000 && cluster.nodes().stream().noneMatch(led(old)); i++) {
+      cluster.run(0.01);
+    }
+    assertTrue(cluster.nodes().stream().anyMatch(led(old)), "another is elected");
+    // It reads the list of machines, and then can delete none.
+    cluster.run(0.8 + 0.2 * seed);
+    cluster.cloud().setDown(true);
+    cluster.run(4);
+    List<StandInWorker> kept =
+        cluster.running(job).stream()
+            .filter(worker -> worker.machine().zone.equals(old.zone()))
+            .toList();
+    assertFalse(kept.isEmpty(), "the zone works on");
+    cluster.run(45);
+    cluster.cloud().setDown(false);
+    cluster.run(300);
+    allEnd(List.of(job));
+  }
+
+  private static Predicate<ControllerNode> led(ControllerNode old) {
+    return node -> node != old && node.leads();
+  }
+}
--- a/src/test/java/io/cherryspool/sim/MeetingsTest.java
+++ b/src/test/java/io/cherryspool/sim/MeetingsTest.java
@@ -7,7 +7,6 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.cherryspool.http.Endpoint;
 import io.cherryspool.model.Job;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -19,27 +18,7 @@
  * Where two troubles meet, each brought about on purpose. The rules are checked after every step;
  * each test says besides that the meeting came about, and what users may expect of it.
  */
-class MeetingsTest {
-  private static final Duration LONG = Duration.ofSeconds(120);
-
-  private Cluster cluster;
-
-  private void settle(long seed, int controllers) {
-    cluster = Cluster.of(seed, controllers);
-    cluster.run(25);
-  }
-
-  private Job submit(String team, int tasks, double cpus, Duration run) {
-    Job job = cluster.job(team, tasks, cpus, run);
-    cluster.users().submit(job);
-    return job;
-  }
-
-  private void allEnd(List<Job> jobs) {
-    for (Job job : jobs) {
-      assertTrue(cluster.rules().ended(job.id()), job.id() + " has an end");
-    }
-  }
+class MeetingsTest extends MeetingFixture {
 
   /** Submissions, cancels, ends, rounds and elections are carried out; nobody is told so. */
   @ParameterizedTest
@@ -193,10 +172,6 @@
     allEnd(jobs);
   }
 
-  private List<Endpoint> addresses() {
-    return cluster.nodes().stream().map(ControllerNode::address).toList();
-  }
-
   /**
    * One-task jobs come four a second for two minutes, a quarter of them cancelled, and the state
    * service takes 25 changes a second. All are served or told when to come back.
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/MessageMeetingsTest.java
@@ -0,0 +1,178 @@
+package io.cherryspool.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cherryspool.model.Job;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Meetings of messages that are late, held up, lost or repeated; the rules are always checked. */
+class MessageMeetingsTest extends MeetingFixture {
+
+  /** A cancel, questions and a repeated submission meet the end of each job's last task. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void cancelsAndQuestionsMeetTheEndOfTheLastTask(long seed) {
+    settle(seed, 3);
+    cluster.users().cancelAtEnd(1);
+    cluster.users().lookClosely(true);
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      jobs.add(submit(i % 2 == 0 ? "red" : "blue", 1 + i % 3, 2, Duration.ofSeconds(3)));
+      cluster.run(1);
+    }
+    cluster.run(60);
+    allEnd(jobs);
+  }
+
+  /** Transactions without an answer are carried out after newer ones of the same controller. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  void transactionsAreCarriedOutAfterNewerOnes(long seed) {
+    settle(seed, 3);
+    cluster.state().holdBack(0.6);
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      Job job = submit(i % 2 == 0 ? "red" : "blue", 4, 2, Duration.ofSeconds(4));
+      jobs.add(job);
+      if (i % 3 == 0) {
+        cluster.after(3, () -> cluster.users().cancel(job.id()));
+      }
+      cluster.run(2);
+    }
+    cluster.leader().crash(Duration.ofMillis(300));
+    cluster.run(12);
+    cluster.state().holdBack(0);
+    cluster.run(75);
+    allEnd(jobs);
+  }
+
+  /** Reports come again at a leader that has acted on newer ones, also from earlier sessions. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  void reportsOfEarlierSessionsAndAttemptsComeAfterNewerOnes(long seed) {
+    settle(seed, 3);
+    Job job = submit("blue", 16, 4, Duration.ofSeconds(25));
+    awaitRunning(job, 12);
+    cluster.net().keepReports();
+    cluster.run(3);
+    long before = cluster.leasesLost();
+    cluster.running(job).stream()
+        .limit(2)
+        .forEach(worker -> cluster.net().mute(host(worker), Cluster.LEASE.plusSeconds(3)));
+    cluster.leader().crash(Duration.ofMillis(200 * seed));
+    for (int i = 0; i < 60; i++) {
+      cluster.net().copiesTo(addresses());
+      cluster.run(0.5);
+    }
+    assertTrue(cluster.leasesLost() >= before);
+    cluster.run(90);
+    allEnd(List.of(job));
+  }
+
+  /** Workers can't open connections to any controller, while direct commands reach them. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  void machinesAreMuteWhileCommandsReachThem(long seed) {
+    settle(seed, 3);
+    Job job = submit("blue", 16, 4, Duration.ofSeconds(30));
+    Job cancelled = submit("red", 8, 4, LONG);
+    awaitRunning(job, 12);
+    awaitRunning(cancelled, 4);
+    for (StandInWorker worker : List.copyOf(cluster.workers())) {
+      if (worker.machine().name.hashCode() % 2 == 0) {
+        cluster.net().mute(host(worker), Duration.ofSeconds(6 + 5 * seed));
+      }
+    }
+    cluster.run(3);
+    cluster.users().cancel(cancelled.id());
+    cluster.run(2);
+    assertNotNull(cluster.rules().cancelTold(cancelled.id()));
+    cluster.run(140);
+    allEnd(List.of(job, cancelled));
+  }
+
+  /** A command, or its answer, is held up for seconds, and the machine hangs and then goes on. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void commandsAreHeldUpAndTheMachinesGoOn(long seed) {
+    settle(seed, 3);
+    List<Job> jobs = new ArrayList<>();
+    Job usual = submit("blue", 8, 4, Duration.ofSeconds(40));
+    awaitRunning(usual, 8);
+    jobs.add(usual);
+    for (int i = 0; i < 8; i++) {
+      jobs.add(submit(i % 2 == 0 ? "red" : "blue", 4, 2, Duration.ofSeconds(12)));
+      ControllerNode leader = cluster.leader();
+      Duration length = Duration.ofMillis(2000 + 900 * seed);
+      if (cluster.workers().isEmpty()) {
+        // All were given up as mute, and the next ones boot.
+        cluster.run(10);
+      }
+      List<StandInWorker> all = List.copyOf(cluster.workers());
+      StandInWorker one = all.get(i % all.size());
+      cluster.after(0.04 * i, () -> cluster.net().cut(leader.address().host(), host(one), length));
+      if (i % 2 == 0) {
+        cluster.after(0.3, () -> one.hang(length.plusMillis(1500)));
+      }
+      if (i % 3 == 0) {
+        Job job = jobs.get(i + 1);
+        cluster.after(1.5, () -> cluster.users().cancel(job.id()));
+      }
+      cluster.run(2.5);
+    }
+    cluster.run(200);
+    allEnd(jobs);
+  }
+
+  /** The state service is slow, then down for longer than the limit, while users cancel and ask. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void theStateServiceIsSlowAndThenDownWhileUsersCancelAndAsk(long seed) {
+    settle(seed, 3);
+    Job job = submit("blue", 12, 4, LONG);
+    awaitRunning(job, 12);
+    cluster.users().storm(8);
+    cluster.users().lookClosely(true);
+    cluster.state().slow(1600);
+    cluster.run(3);
+    cluster.users().cancel(job.id());
+    for (int i = 0; i < 400 && cluster.rules().cancelTold(job.id()) == null; i++) {
+      cluster.run(0.1);
+    }
+    assertNotNull(cluster.rules().cancelTold(job.id()), "confirmed though it is slow");
+    cluster.outage(Cluster.CANCEL.plusSeconds(10));
+    cluster.run(Cluster.CANCEL.plusMillis(100));
+    assertEquals(0, cluster.runningTasks(job));
+    cluster.state().slow(0);
+    cluster.run(60);
+  }
+
+  /** More work than room, urgent and not, while every message takes its time. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void thereIsMoreWorkThanRoomOverSlowLinks(long seed) {
+    settle(seed, 3);
+    cluster.net().slow(500);
+    List<Job> jobs = new ArrayList<>();
+    jobs.add(submit("blue", 60, 4, Duration.ofSeconds(10)));
+    jobs.add(submit("red", 40, 4, Duration.ofSeconds(10)));
+    cluster.run(20);
+    Job urgent = cluster.urgentJob("red", 4, 4, Duration.ofSeconds(5));
+    cluster.users().submit(urgent);
+    cluster.run(25);
+    assertTrue(
+        cluster.runningTasks(urgent) + cluster.rules().doneTasks(urgent.id()) > 0,
+        "urgent work does not wait for the rest");
+    cluster.run(60);
+    cluster.net().slow(0);
+    cluster.run(100);
+    jobs.add(urgent);
+    allEnd(jobs);
+  }
+}
--- a/src/test/java/io/cherryspool/sim/SimNet.java
+++ b/src/test/java/io/cherryspool/sim/SimNet.java
@@ -41,6 +41,7 @@
   private final Set<String> refused = new HashSet<>();
   private final Set<String> cutZones = new HashSet<>();
   private final List<Request> kept = new ArrayList<>();
+  private int slowMs;
   private boolean copies;
   private boolean keeping;
   private final Map<String, List<Runnable>> held = new HashMap<>();
@@ -140,6 +141,11 @@
     }
   }
 
+  /** Every message takes up to so much longer; 0 ends it. */
+  void slow(int millis) {
+    slowMs = millis;
+  }
+
   /** Whether copies of reports come, from at once to well over a lease later. */
   void copyReports(boolean on) {
     copies = on;
@@ -234,7 +240,7 @@
   }
 
   private void carry(String from, String to, Runnable arrival) {
-    Duration delay = Duration.ofNanos(300_000 + random.nextLong(3_000_000));
+    Duration delay = Duration.ofNanos(300_000 + random.nextLong(3_000_000 + slowMs * 1_000_000L));
     time.schedule(
         delay,
         () -> {
--- a/src/test/java/io/cherryspool/sim/StandInState.java
+++ b/src/test/java/io/cherryspool/sim/StandInState.java
@@ -31,6 +31,7 @@
   private final double late;
   private double heldBack;
   private double unanswered;
+  private int slowMs;
   private Consumer<String> onPut = key -> {};
   private final TreeMap<String, Item> keys = new TreeMap<>();
   private final Map<Long, Lease> leases = new HashMap<>();
@@ -99,6 +100,11 @@
     return true;
   }
 
+  /** Each answer comes up to so much later; 0 ends it. */
+  void slow(int millis) {
+    slowMs = millis;
+  }
+
   /** Told of each key as it is put. */
   void listen(Consumer<String> listener) {
     onPut = listener;
@@ -112,6 +118,17 @@
 
   @Override
   public CompletableFuture<Reply> handle(Request request) {
+    CompletableFuture<Reply> answer = carryOut(request);
+    if (slowMs == 0) {
+      return answer;
+    }
+    Duration wait = Duration.ofMillis(random.nextLong(slowMs));
+    CompletableFuture<Reply> late = new CompletableFuture<>();
+    answer.thenAccept(reply -> loop.schedule(wait, () -> late.complete(reply)));
+    return late;
+  }
+
+  private CompletableFuture<Reply> carryOut(Request request) {
     if (down) {
       return done(503, Json.object().put("error", "trouble"));
     }
--- a/src/test/java/io/cherryspool/sim/Troubles.java
+++ b/src/test/java/io/cherryspool/sim/Troubles.java
@@ -57,7 +57,7 @@
     Duration length = Duration.ofMillis(2000 + random.nextLong(25_000));
     ControllerNode node = cluster.nodes().get(random.nextInt(cluster.nodes().size()));
     ControllerNode leader = cluster.leading().orElse(node);
-    switch (random.nextInt(35)) {
+    switch (random.nextInt(37)) {
       case 0 -> node.crash(Duration.ofMillis(200 + random.nextLong(8000)));
       case 1 ->
           cluster
@@ -137,6 +137,14 @@
         later(length, () -> cluster.users().lookClosely(false));
       }
       case 32 -> gap(leader);
+      case 34 -> {
+        cluster.state().slow(1500);
+        later(length, () -> cluster.state().slow(0));
+      }
+      case 35 -> {
+        cluster.net().slow(600);
+        later(length, () -> cluster.net().slow(0));
+      }
       case 33 -> {
         cluster.cloud().bootFast(true);
         later(length.multipliedBy(2), () -> cluster.cloud().bootFast(false));
