Never let a reload take the copy back, nor an old answer begin a reload

Found by reading: a reading sent before a reload and carried out after the reload's catching up left the copy newer than what the reload then put in its place, though users had been answered from it; one that returned after the reload set the last reading back, and one that returned with 410 then began another reload, during which all users were refused. Ruled out by test: a request answered by a reading sent before it; a late reading that replays a job without its end.

StateLine (tests only) holds, loses or replaces single messages to the state service.

--- a/src/main/java/io/cherryspool/store/Replica.java
+++ b/src/main/java/io/cherryspool/store/Replica.java
@@ -213,22 +213,23 @@
     List<CompletableFuture<Void>> batch = waiting;
     waiting = new ArrayList<>();
     Duration sent = loop.now();
+    long after = revision;
     readingSince = sent;
     lastReading = sent;
     client
-        .follow(Records.PREFIX, revision, Duration.ZERO)
+        .follow(Records.PREFIX, after, Duration.ZERO)
         .whenComplete(
             (changes, failure) -> {
               readingSince = null;
               if (failure == null) {
-                confirmed = sent;
+                confirm(sent);
                 apply(changes);
                 batch.forEach(item -> item.complete(null));
                 scheduleRead();
               } else {
                 batch.forEach(item -> item.completeExceptionally(failure));
                 failWaiting("the state service is silent");
-                failed(failure);
+                failed(failure, after);
               }
             });
   }
@@ -240,11 +241,23 @@
     batch.forEach(item -> item.completeExceptionally(failure));
   }
 
-  private void failed(Throwable failure) {
+  /** A reading may return after a reload that was begun later, which does not make it newer. */
+  private void confirm(Duration sent) {
+    if (confirmed == null || sent.compareTo(confirmed) > 0) {
+      confirmed = sent;
+    }
+  }
+
+  /** {@code after} is the revision whose later changes were asked for. */
+  private void failed(Throwable failure, long after) {
     StateException.Kind kind = StateException.kindOf(failure);
     if (kind == StateException.Kind.GONE) {
-      LOG.info("the history after revision {} is gone, reading all keys again", revision);
-      load();
+      // An answer from before a reload tells of a gap that is closed. Another reload would refuse
+      // all users for its time.
+      if (after == revision) {
+        LOG.info("the history after revision {} is gone, reading all keys again", revision);
+        load();
+      }
     } else if (kind == StateException.Kind.BUSY) {
       budget.drain();
     }
@@ -256,8 +269,9 @@
       return;
     }
     budget.force(0);
+    long after = revision;
     client
-        .follow(Records.PREFIX, revision, WATCH)
+        .follow(Records.PREFIX, after, WATCH)
         .whenComplete(
             (changes, failure) -> {
               if (!running || loading) {
@@ -266,7 +280,7 @@
               if (failure == null) {
                 apply(changes);
               } else {
-                failed(failure);
+                failed(failure, after);
               }
               if (!loading && watchTimer == null) {
                 watchTimer = loop.schedule(failure == null ? WATCH_GAP : RETRY, this::watch);
@@ -351,9 +365,15 @@
                   found.put(event.key(), event);
                 }
               }
+              if (changes.revision() < revision) {
+                // A reading from before was carried out later than this one and has been answered
+                // from the copy. What users were told must not be taken back.
+                catchUp(changes.revision(), found);
+                return;
+              }
               replaceAll(found);
               revision = changes.revision();
-              confirmed = sent;
+              confirm(sent);
               loading = false;
               loaded = true;
               LOG.info("read {} keys up to revision {}", found.size(), revision);
--- a/src/test/java/io/cherryspool/sim/StandInState.java
+++ b/src/test/java/io/cherryspool/sim/StandInState.java
@@ -62,7 +62,7 @@
     expire();
   }
 
-  void setDown(boolean value) {
+  public void setDown(boolean value) {
     if (down && !value) {
       leases.values().forEach(this::renew);
     }
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/StateLine.java
@@ -0,0 +1,118 @@
+package io.cherryspool.sim;
+
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.http.Handler;
+import io.cherryspool.http.Reply;
+import io.cherryspool.http.Request;
+import io.cherryspool.http.Transport;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * One node's line to the state service, on which a test decides what becomes of single messages.
+ * All others take a millisecond each way.
+ */
+public final class StateLine implements Transport {
+  /** What readings, watches and transactions have in their targets. */
+  public static final String READING = "block_ms=0";
+
+  public static final String WATCH = "block_ms=10000";
+  public static final String COMMIT = "/commit";
+
+  private static final Duration WAY = Duration.ofMillis(1);
+
+  private final VirtualTime time;
+  private final Handler state;
+  private final List<Plan> plans = new ArrayList<>();
+  private final List<Held> held = new ArrayList<>();
+  private final List<Request> sent = new ArrayList<>();
+
+  /** What becomes of a message. */
+  public enum Fate {
+    HOLD_REQUEST,
+    HOLD_ANSWER,
+    LOSE_ANSWER,
+    REPLACE
+  }
+
+  private record Plan(String target, Fate fate, Reply instead) {}
+
+  private record Held(String target, Runnable message) {}
+
+  public StateLine(VirtualTime time, Handler state) {
+    this.time = time;
+    this.state = state;
+  }
+
+  /** Decides on the next request with this in its target; several are taken in order. */
+  public void next(String target, Fate fate) {
+    plans.add(new Plan(target, fate, null));
+  }
+
+  /** The next such request gets this answer once released, and does not reach the service. */
+  public void answerNext(String target, int status, String body) {
+    Reply instead = Reply.json(status, body.getBytes(StandardCharsets.UTF_8));
+    plans.add(new Plan(target, Fate.REPLACE, instead));
+  }
+
+  /** Lets go the one of the messages of such requests that was held longest. */
+  public void release(String target) {
+    Held first =
+        held.stream().filter(item -> item.target.contains(target)).findFirst().orElseThrow();
+    held.remove(first);
+    first.message.run();
+  }
+
+  /** How many such requests were sent. */
+  public long count(String target) {
+    return sent.stream().filter(request -> request.target().contains(target)).count();
+  }
+
+  @Override
+  public CompletableFuture<Reply> send(Endpoint to, Request request, Duration deadline) {
+    CompletableFuture<Reply> result = new CompletableFuture<>();
+    time.schedule(deadline, () -> result.completeExceptionally(new IOException("no answer")));
+    sent.add(request);
+    Plan plan = plan(request);
+    Runnable arrival = () -> arrive(request, plan, result);
+    if (plan != null && plan.fate == Fate.HOLD_REQUEST) {
+      held.add(new Held(request.target(), arrival));
+    } else {
+      time.schedule(WAY, arrival);
+    }
+    return result;
+  }
+
+  private Plan plan(Request request) {
+    for (Iterator<Plan> each = plans.iterator(); each.hasNext(); ) {
+      Plan plan = each.next();
+      if (request.target().contains(plan.target)) {
+        each.remove();
+        return plan;
+      }
+    }
+    return null;
+  }
+
+  private void arrive(Request request, Plan plan, CompletableFuture<Reply> result) {
+    if (plan != null && plan.fate == Fate.REPLACE) {
+      held.add(new Held(request.target(), () -> result.complete(plan.instead)));
+      return;
+    }
+    state
+        .handle(request)
+        .thenAccept(
+            reply -> {
+              if (plan != null && plan.fate == Fate.HOLD_ANSWER) {
+                held.add(new Held(request.target(), () -> result.complete(reply)));
+              } else if (plan == null || plan.fate != Fate.LOSE_ANSWER) {
+                time.schedule(WAY, () -> result.complete(reply));
+              }
+            });
+  }
+}
