Never confirm a cancel without an outcome, nor refuse a job accepted earlier

One that is malformed or can never run is now refused after a reading, unless the job was accepted earlier. In an outage, where a job that can never run got 503, the copy decides, as no node accepts anything then; a node that others are ahead of, or that learns that its history is gone, answers 503. - A repeated submission after a conflict was told 404 if the record was not to be seen; now 503. - A repeated submission of a job that has ended got 503 in an outage and during a reload; its end is now told from memory, as to polls. - An unknown team, or more than its limit, was told 503 while the machine types were unknown; it needs none. - A text with half a character (an escaped lone surrogate) could be read and not be written, an exception that the server answers with 503; now 400. - The users of a reading that found the history gone were told before the copy counted as not loaded.

--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -121,7 +121,8 @@
             catalog::types,
             wall,
             limits.valueBytes(),
-            operators.failureCap());
+            operators.failureCap(),
+            this::behind);
     Gauge.builder("cherryspool.leading", () -> reign == null ? 0 : 1).register(given.registry());
     Gauge.builder("cherryspool.term", replica::term).register(given.registry());
     Gauge.builder("cherryspool.jobs.active", () -> replica.active().size())
--- a/src/main/java/io/cherryspool/controller/UserApi.java
+++ b/src/main/java/io/cherryspool/controller/UserApi.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -30,6 +31,8 @@
   /** What can't be taken now is refused at once; the users are asked to come back this soon. */
   private static final int COME_BACK_S = 1;
 
+  private static final String SILENT = "the state service is silent";
+
   private final Replica replica;
   private final GroupCommit commits;
   private final Map<String, Team> teams;
@@ -37,7 +40,11 @@
   private final Supplier<Instant> wall;
   private final int valueBytes;
   private final int failureCap;
+  private final BooleanSupplier behind;
 
+  /**
+   * @param behind whether other nodes read the state while this one does not
+   */
   UserApi(
       Replica replica,
       GroupCommit commits,
@@ -45,7 +52,8 @@
       Supplier<List<MachineType>> catalog,
       Supplier<Instant> wall,
       int valueBytes,
-      int failureCap) {
+      int failureCap,
+      BooleanSupplier behind) {
     this.replica = replica;
     this.commits = commits;
     this.teams = teams;
@@ -53,41 +61,42 @@
     this.wall = wall;
     this.valueBytes = valueBytes;
     this.failureCap = failureCap;
+    this.behind = behind;
   }
 
   CompletableFuture<Reply> submit(byte[] body) {
+    JsonNode node;
+    try {
+      node = Json.parseObject(body);
+    } catch (WireException e) {
+      return now(malformed(e));
+    }
     Job job;
     JsonNode record;
     try {
-      job = JobWire.parse(Json.parseObject(body), wall.get());
+      job = JobWire.parse(node, wall.get());
       record = Records.job(job, Records.tasksPerShard(valueBytes));
       if (Json.bytes(record).length > valueBytes) {
         throw new WireException("the description is too long to be kept");
       }
     } catch (WireException e) {
-      return now(Reply.json(400, JobWire.error(e.getMessage())));
-    }
-    if (!replica.loaded()) {
-      return now(later("not ready"));
+      String named = JobWire.id(node);
+      return named == null ? now(malformed(e)) : refuse(named, malformed(e));
     }
     String id = job.id();
+    List<MachineType> types = catalog.get();
+    String impossible = Rules.impossible(job, teams.get(job.team()), types);
+    if (impossible != null) {
+      return refuse(id, Reply.json(422, JobWire.error(impossible)));
+    }
     if (replica.job(id) != null) {
-      return current(id);
+      return known(id);
     }
-    List<MachineType> types = catalog.get();
-    String impossible = types == null ? null : Rules.impossible(job, teams.get(job.team()), types);
-    if (types == null || impossible != null) {
-      // Another node may have accepted the job when it knew more, so look before refusing it.
-      return replica
-          .refresh()
-          .thenApply(
-              nothing ->
-                  replica.job(id) != null
-                      ? status(replica.job(id))
-                      : types == null
-                          ? later("the machine types are not known yet")
-                          : Reply.json(422, JobWire.error(impossible)))
-          .exceptionally(failure -> later("the state service is silent"));
+    if (!replica.loaded()) {
+      return now(later("not ready"));
+    }
+    if (types == null) {
+      return refuse(id, later("the machine types are not known yet"));
     }
     return commits
         .submit(
@@ -98,16 +107,42 @@
             applied ->
                 applied
                     ? now(Reply.json(201, JobWire.status(id, JobWire.Status.PENDING)))
-                    : current(id))
+                    : known(id))
         .exceptionally(failure -> later("the state service can't take the job now"));
   }
 
-  CompletableFuture<Reply> poll(String id) {
-    JobEntry known = replica.job(id);
-    if (known != null && known.outcome() != null) {
-      return now(status(known));
+  /**
+   * Refuses a submission unless the job was accepted earlier, by any node: a user who repeats it is
+   * never told that it is malformed or can never run. While no node reads the state none accepts
+   * anything either, so that the copy tells enough; a node that others are ahead of can't tell.
+   */
+  private CompletableFuture<Reply> refuse(String id, Reply refusal) {
+    if (replica.job(id) != null) {
+      return known(id);
+    }
+    if (!replica.loaded()) {
+      return now(later("not ready"));
     }
-    return current(id);
+    return replica
+        .refresh()
+        .handle(
+            (nothing, failure) -> {
+              JobEntry entry = replica.job(id);
+              boolean unsure = !replica.loaded() || behind.getAsBoolean();
+              if (failure != null && (entry != null || unsure)) {
+                return later(SILENT);
+              }
+              return entry == null ? refusal : status(entry);
+            });
+  }
+
+  /** The answer to a submission of a job that was accepted earlier. */
+  private CompletableFuture<Reply> known(String id) {
+    return current(id, later("the job's record is not to be seen"));
+  }
+
+  CompletableFuture<Reply> poll(String id) {
+    return current(id, notFound());
   }
 
   CompletableFuture<Reply> cancel(String id) {
@@ -136,21 +171,38 @@
                       applied ->
                           applied
                               ? now(Reply.json(200, JobWire.status(id, JobWire.Status.CANCELLED)))
-                              : replica.refresh().thenApply(again -> ending(replica.job(id))));
+                              : replica.refresh().thenApply(again -> ended(replica.job(id))));
             })
-        .exceptionally(failure -> later("the state service is silent"));
+        .exceptionally(failure -> later(SILENT));
   }
 
-  /** The job's state as of now, not as of the last change that this node heard of. */
-  private CompletableFuture<Reply> current(String id) {
+  /**
+   * The job's state as of now, not as of the last change that this node heard of. Only an end is
+   * told from memory, in any trouble, since nothing follows it.
+   */
+  private CompletableFuture<Reply> current(String id, Reply unknown) {
+    JobEntry known = replica.job(id);
+    if (known != null && known.outcome() != null) {
+      return now(status(known));
+    }
     return replica
         .refresh()
         .thenApply(
             nothing -> {
               JobEntry entry = replica.job(id);
-              return entry == null ? notFound() : status(entry);
+              return entry == null ? unknown : status(entry);
             })
-        .exceptionally(failure -> later("the state service is silent"));
+        .exceptionally(failure -> later(SILENT));
+  }
+
+  /**
+   * After a cancel that met a conflict. What it met is told only from a record that is there:
+   * without one nothing says how the job ended, nor that it did, and the user asks again.
+   */
+  private static Reply ended(JobEntry entry) {
+    return entry == null || entry.outcome() == null
+        ? later("whether the job is cancelled is not known yet")
+        : ending(entry);
   }
 
   private Reply status(JobEntry entry) {
@@ -173,6 +225,10 @@
     return Reply.json(200, JobWire.status(entry.job().id(), status));
   }
 
+  private static Reply malformed(WireException failure) {
+    return Reply.json(400, JobWire.error(failure.getMessage()));
+  }
+
   private static Reply notFound() {
     return Reply.json(404, JobWire.error("no such job"));
   }
--- a/src/main/java/io/cherryspool/scheduler/Rules.java
+++ b/src/main/java/io/cherryspool/scheduler/Rules.java
@@ -14,7 +14,10 @@
     return job.allowsType(type) && job.allowsZone(zone) && (job.spotAllowed() || !spot);
   }
 
-  /** Why the job can never run, or null if it can. */
+  /**
+   * Why the job can never run, or null if it can. The team alone may say so; without a catalog,
+   * null, nothing is said of the machine types.
+   */
   public static String impossible(Job job, Team team, Collection<MachineType> catalog) {
     if (team == null) {
       return "unknown team " + job.team();
@@ -22,6 +25,9 @@
     if (!team.allows(Resources.NONE.plus(job.perTask()))) {
       return "a task needs more than the limit of team " + job.team();
     }
+    if (catalog == null) {
+      return null;
+    }
     for (MachineType type : catalog) {
       if (job.allowsType(type) && (job.zone() == null || type.zones().contains(job.zone()))) {
         return null;
--- a/src/main/java/io/cherryspool/store/Replica.java
+++ b/src/main/java/io/cherryspool/store/Replica.java
@@ -227,9 +227,10 @@
                 batch.forEach(item -> item.complete(null));
                 scheduleRead();
               } else {
+                // First of all, so that whoever is told now sees a copy too old as not loaded.
+                failed(failure, after);
                 batch.forEach(item -> item.completeExceptionally(failure));
                 failWaiting("the state service is silent");
-                failed(failure, after);
               }
             });
   }
--- a/src/main/java/io/cherryspool/wire/JobWire.java
+++ b/src/main/java/io/cherryspool/wire/JobWire.java
@@ -36,6 +36,12 @@
     return ID.matcher(text).matches();
   }
 
+  /** The id that a description names, whatever else is wrong with it, or null. */
+  public static String id(JsonNode node) {
+    String text = node.path("ref").asText();
+    return isId(text) ? text : null;
+  }
+
   public static Job parse(JsonNode node, Instant submitted) throws WireException {
     String id = Json.text(node, "ref");
     if (!isId(id)) {
--- a/src/main/java/io/cherryspool/wire/Json.java
+++ b/src/main/java/io/cherryspool/wire/Json.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -60,7 +61,15 @@
     if (!found.isTextual() || found.textValue().isEmpty()) {
       throw new WireException(field + " must be a non-empty string");
     }
-    return found.textValue();
+    return writable(found, field);
+  }
+
+  /** An escape may name half a character, which can be read and not be written again. */
+  private static String writable(JsonNode node, String field) throws WireException {
+    if (!StandardCharsets.UTF_8.newEncoder().canEncode(node.textValue())) {
+      throw new WireException(field + " holds half a character");
+    }
+    return node.textValue();
   }
 
   static String textOrNull(JsonNode node, String field) throws WireException {
@@ -114,7 +123,7 @@
       if (!item.isTextual()) {
         throw new WireException(field + " must be a list of strings");
       }
-      result.add(item.textValue());
+      result.add(writable(item, field));
     }
     return result;
   }
