Keep a round open while a copy of it without an answer may yet be carried out

Cause: a round's transaction without an answer was sent again, and if that copy was refused (429, 503) the round counted as settled. The earlier copy may be carried out seconds later, after the next round has given the same room, and the same part of a team's limit, to others in other records, on which its conditions say nothing. Now only an answer settles a transaction that once had none. A transaction refused in the first place stays settled at once. Ruled out by test: a conflict with one's own copy settles the round, and what happened is read.

--- a/src/main/java/io/cherryspool/controller/RoundWriter.java
+++ b/src/main/java/io/cherryspool/controller/RoundWriter.java
@@ -104,6 +104,7 @@
       send(
           named,
           all,
+          false,
           () -> {
             if (--open[0] == 0 && !stopped) {
               done.run();
@@ -113,8 +114,16 @@
     return taken;
   }
 
+  /**
+   * Once a copy had no answer, {@code open}, only an answer settles the transaction. That a later
+   * copy was refused says nothing of the ones before, which may be carried out seconds later: a
+   * round planned meanwhile would give the same room, and the same part of a team's limit, again.
+   */
   private void send(
-      Map<String, Long> conditions, List<StateWire.Change> changes, Runnable certain) {
+      Map<String, Long> conditions,
+      List<StateWire.Change> changes,
+      boolean open,
+      Runnable certain) {
     if (stopped) {
       return;
     }
@@ -123,18 +132,21 @@
         .whenComplete(
             (result, failure) -> {
               StateException.Kind kind = failure == null ? null : StateException.kindOf(failure);
-              if (kind == StateException.Kind.UNKNOWN) {
+              boolean refused =
+                  kind == StateException.Kind.BUSY || kind == StateException.Kind.REFUSED;
+              if (kind == StateException.Kind.BUSY) {
+                budget.drain();
+              }
+              if (kind == StateException.Kind.UNKNOWN || open && refused) {
                 loop.schedule(
                     AGAIN,
                     () -> {
                       budget.force(changes.size());
-                      send(conditions, changes, certain);
+                      send(conditions, changes, true, certain);
                     });
                 return;
               }
-              if (kind == StateException.Kind.BUSY) {
-                budget.drain();
-              } else if (kind != null && kind != StateException.Kind.REFUSED) {
+              if (kind != null && !refused) {
                 LOG.error("the state service rejects a round: {}", failure.toString());
               } else if (kind == null && !result.applied()) {
                 LOG.debug("a round's transaction was overtaken: {}", result.failed());
--- /dev/null
+++ b/src/test/java/io/cherryspool/controller/RoundWriterTest.java
@@ -0,0 +1,105 @@
+package io.cherryspool.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.sim.StandInState;
+import io.cherryspool.sim.StateLine;
+import io.cherryspool.sim.StateLine.Fate;
+import io.cherryspool.sim.VirtualTime;
+import io.cherryspool.store.Budget;
+import io.cherryspool.store.StateClient;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.StateWire;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** When a round's outcome is certain: only then may the next one count on the room it sees. */
+class RoundWriterTest {
+  private static final String SHARD = "c/progress/req-000001/0";
+
+  private final VirtualTime time = new VirtualTime();
+  private final StandInState state = new StandInState(time, new SplittableRandom(1), 0);
+  private final StateLine line = new StateLine(time, state);
+  private final Budget budget = new Budget(time, 1, 1000, 1000);
+  private final StateClient client =
+      new StateClient(time, budget, line, new Endpoint("127.0.0.1", 1), Duration.ofSeconds(1));
+  private final RoundWriter writer = new RoundWriter(time, client, budget, 8, 0);
+  private int certain;
+
+  private void run(double seconds) {
+    Duration end = time.now().plusMillis((long) (seconds * 1000));
+    while (time.step(end)) {
+      // Each step may schedule more.
+    }
+  }
+
+  private void write() {
+    StateWire.Change change = new StateWire.Change(SHARD, Json.object().put("x", 1), 0);
+    RoundWriter.Unit unit =
+        new RoundWriter.Unit(Map.of(SHARD, 0L), List.of(change), 20, Budget.Use.ROUND);
+    writer.write(List.of(unit), () -> certain++);
+  }
+
+  /** The second copy meets what the first has written. */
+  @Test
+  void aConflictWithOnesOwnCopyIsCertain() {
+    line.next(StateLine.COMMIT, Fate.LOSE_ANSWER);
+    write();
+    run(0.2);
+    assertNotNull(state.peek(SHARD));
+    assertEquals(0, certain);
+    run(0.2);
+    assertEquals(1, certain);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {429, 503})
+  void whatWasSurelyNotCarriedOutIsCertain(int status) {
+    line.answerNext(StateLine.COMMIT, status, "{}");
+    write();
+    run(0.01);
+    line.release(StateLine.COMMIT);
+    assertEquals(1, certain);
+    assertNull(state.peek(SHARD));
+  }
+
+  /**
+   * The copies of before may be carried out seconds later. A round planned meanwhile would give the
+   * same room, and the same part of a team's limit, to others.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {429, 503})
+  void aCopyThatIsRefusedLeavesTheOnesOfBeforeOpen(int status) {
+    line.next(StateLine.COMMIT, Fate.HOLD_REQUEST);
+    line.next(StateLine.COMMIT, Fate.HOLD_REQUEST);
+    line.answerNext(StateLine.COMMIT, status, "{}");
+    write();
+    run(1.7);
+    assertEquals(3, line.count(StateLine.COMMIT), "two copies without an answer, and another");
+    line.releaseLast(StateLine.COMMIT);
+    assertEquals(0, certain);
+    line.release(StateLine.COMMIT);
+    assertNotNull(state.peek(SHARD), "carried out late");
+    run(1);
+    assertEquals(1, certain);
+  }
+
+  @Test
+  void aWriterThatIsStoppedTellsNothing() {
+    line.next(StateLine.COMMIT, Fate.HOLD_ANSWER);
+    write();
+    run(0.01);
+    writer.stop();
+    line.release(StateLine.COMMIT);
+    run(5);
+    assertEquals(0, certain);
+  }
+}
--- a/src/test/java/io/cherryspool/sim/StateLine.java
+++ b/src/test/java/io/cherryspool/sim/StateLine.java
@@ -62,10 +62,22 @@
 
   /** Lets go the one of the messages of such requests that was held longest. */
   public void release(String target) {
-    Held first =
-        held.stream().filter(item -> item.target.contains(target)).findFirst().orElseThrow();
-    held.remove(first);
-    first.message.run();
+    release(held(target).get(0));
+  }
+
+  /** Lets go the one that was held last. */
+  public void releaseLast(String target) {
+    List<Held> found = held(target);
+    release(found.get(found.size() - 1));
+  }
+
+  private List<Held> held(String target) {
+    return held.stream().filter(item -> item.target.contains(target)).toList();
+  }
+
+  private void release(Held item) {
+    held.remove(item);
+    item.message.run();
   }
 
   /** How many such requests were sent. */
