--- a/src/main/java/io/cherryspool/wire/Json.java
+++ b/src/main/java/io/cherryspool/wire/Json.java
@@ -64,12 +64,25 @@
     return writable(found, field);
   }
 
-  /** An escape may name half a character, which can be read and not be written again. */
+  /**
+   * An escape may name half a character, which can be read and not be written again. Hardly any
+   * text has surrogates, and every report is full of texts, so that only those are looked at.
+   */
   private static String writable(JsonNode node, String field) throws WireException {
-    if (!StandardCharsets.UTF_8.newEncoder().canEncode(node.textValue())) {
+    String text = node.textValue();
+    if (hasSurrogate(text) && !StandardCharsets.UTF_8.newEncoder().canEncode(text)) {
       throw new WireException(field + " holds half a character");
     }
-    return node.textValue();
+    return text;
+  }
+
+  private static boolean hasSurrogate(String text) {
+    for (int i = 0; i < text.length(); i++) {
+      if (Character.isSurrogate(text.charAt(i))) {
+        return true;
+      }
+    }
+    return false;
   }
 
   static String textOrNull(JsonNode node, String field) throws WireException {
