Rename: LeaderTerm, LeadershipTransfer and successor, CrashLoopBackoff

Reign, Succession with its heir, and Doubts hid standard terms of the field. Nothing else is changed, but for the key of the transfer's record, which only orders who stands first.

--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -57,7 +57,7 @@
   private final Peers peers = new Peers();
   private final Meters meters;
   private final Strays strays = new Strays();
-  private final Succession succession;
+  private final LeadershipTransfer transfer;
   private final StateClient state;
   private final Budget budget;
   private final Replica replica;
@@ -66,7 +66,7 @@
   private final WorkerClient workers;
   private final CatalogKeeper catalog;
   private final UserApi users;
-  private Reign reign;
+  private LeaderTerm leaderTerm;
   private EventLoop.Timer timer;
 
   /** What the node is given to work with. {@code metrics} writes the registry out. */
@@ -92,7 +92,8 @@
     settings.teams().forEach(team -> teams.put(team.name(), team));
     Settings.StateLimits limits = settings.stateLimits();
     int nodes = settings.peers().size() + 1;
-    succession = new Succession(peers, timings, timings.stateLease().dividedBy(WORDS_PER_LEASE));
+    transfer =
+        new LeadershipTransfer(peers, timings, timings.stateLease().dividedBy(WORDS_PER_LEASE));
     budget = new Budget(loop, nodes, limits.rps(), limits.writeRps());
     state = new StateClient(loop, budget, given.transport(), settings.state(), timings.stateCall());
     Duration refreshGap = Duration.ofNanos((long) (2e9 * nodes / limits.rps()));
@@ -123,14 +124,17 @@
             limits.valueBytes(),
             operators.failureCap(),
             this::behind);
-    Gauge.builder("cherryspool.leading", () -> reign == null ? 0 : 1).register(given.registry());
+    Gauge.builder("cherryspool.leading", () -> leaderTerm == null ? 0 : 1)
+        .register(given.registry());
     Gauge.builder("cherryspool.term", replica::term).register(given.registry());
     Gauge.builder("cherryspool.jobs.active", () -> replica.active().size())
         .register(given.registry());
     Gauge.builder("cherryspool.jobs.accepted", replica::jobCount).register(given.registry());
-    Gauge.builder("cherryspool.machines", () -> reign == null ? 0 : reign.fleet().all().size())
+    Gauge.builder(
+            "cherryspool.machines", () -> leaderTerm == null ? 0 : leaderTerm.fleet().all().size())
         .register(given.registry());
-    Gauge.builder("cherryspool.machines.lost", () -> reign == null ? 0 : reign.reach().lost())
+    Gauge.builder(
+            "cherryspool.machines.lost", () -> leaderTerm == null ? 0 : leaderTerm.reach().lost())
         .register(given.registry());
     Gauge.builder("cherryspool.workers.stray", () -> strays.count(loop.now()))
         .register(given.registry());
@@ -150,9 +154,9 @@
 
   @Override
   public void stop() {
-    if (reign != null) {
-      reign.stop();
-      reign = null;
+    if (leaderTerm != null) {
+      leaderTerm.stop();
+      leaderTerm = null;
     }
     if (timer != null) {
       timer.cancel();
@@ -164,7 +168,7 @@
 
   /** Whether this node leads now and may act for the controllers. */
   public boolean leads() {
-    return reign != null && election.authorized();
+    return leaderTerm != null && election.authorized();
   }
 
   /** Word from another node. */
@@ -184,17 +188,17 @@
             settings.name(), replica.term(), reachesState(), silence, strays.count(now), writes));
     budget.others(
         peers.since(timings.stateLease(), now).stream().mapToInt(Mesh.Word::writes).toArray());
-    succession.tick(now, leads());
-    if (reign != null) {
-      Reign.Reach reach = reign.reach();
-      String heir = succession.heir(reach, now);
-      if (heir != null) {
+    transfer.tick(now, leads());
+    if (leaderTerm != null) {
+      LeaderTerm.Reach reach = leaderTerm.reach();
+      String successor = transfer.successor(reach, now);
+      if (successor != null) {
         LOG.info(
             "{} of {} machines do not reach this node, so that {} is to lead",
             reach.lost(),
             reach.known(),
-            heir.equals(Succession.ANYBODY) ? "any other" : heir);
-        election.yieldTo(heir);
+            successor.equals(LeadershipTransfer.ANYBODY) ? "any other" : successor);
+        election.yieldTo(successor);
       }
     }
   }
@@ -205,29 +209,29 @@
   }
 
   private void recordsChanged() {
-    if (reign != null) {
-      reign.recordsChanged();
+    if (leaderTerm != null) {
+      leaderTerm.recordsChanged();
     }
   }
 
   private void leadership() {
     boolean leading = election.leading();
-    if (reign != null && (!leading || reign.term() != replica.term())) {
-      reign.stop();
-      reign = null;
+    if (leaderTerm != null && (!leading || leaderTerm.term() != replica.term())) {
+      leaderTerm.stop();
+      leaderTerm = null;
       budget.setLeader(false);
     }
-    if (reign == null && leading) {
+    if (leaderTerm == null && leading) {
       budget.setLeader(true);
-      reign = newReign();
-      reign.start();
+      leaderTerm = newLeaderTerm();
+      leaderTerm.start();
     }
   }
 
-  private Reign newReign() {
+  private LeaderTerm newLeaderTerm() {
     int maxChanges = settings.stateLimits().txnOps();
     RoundWriter writer = new RoundWriter(loop, state, budget, maxChanges, replica.termVersion());
-    return new Reign(
+    return new LeaderTerm(
         loop,
         replica,
         workers,
@@ -241,9 +245,9 @@
             operators.failureCap(),
             maxChanges,
             settings.deadlineTimes()),
-        new Reign.RentalLimits(settings.cloudRps(), settings.listLag(), operators.idleKeep()),
-        new Reign.Cluster(
-            new Reign.Authority(election::authorized, election::sole),
+        new LeaderTerm.RentalLimits(settings.cloudRps(), settings.listLag(), operators.idleKeep()),
+        new LeaderTerm.Cluster(
+            new LeaderTerm.Authority(election::authorized, election::sole),
             teams,
             catalog::types,
             wall,
@@ -333,8 +337,8 @@
       return Reply.json(400, JobWire.error(e.getMessage()));
     }
     if (leads()) {
-      byte[] answer = reign.report(report);
-      if (reign != null) {
+      byte[] answer = leaderTerm.report(report);
+      if (leaderTerm != null) {
         return Reply.json(200, answer);
       }
     }
--- a/src/main/java/io/cherryspool/controller/Doubts.java
+++ b/src/main/java/io/cherryspool/controller/CrashLoopBackoff.java
@@ -15,22 +15,22 @@
  * user cancels it, so that it gets a few tries at a time, ever more seldom, until one succeeds.
  *
  * <p>A job of which some tasks fail now and then soon has one that succeeds, and one with a bad
- * machine fails on that machine only: neither is in doubt for longer than a run.
+ * machine fails on that machine only: neither is held back for longer than a run.
  */
-final class Doubts {
-  private static final Logger LOG = LoggerFactory.getLogger(Doubts.class);
+final class CrashLoopBackoff {
+  private static final Logger LOG = LoggerFactory.getLogger(CrashLoopBackoff.class);
 
-  /** Machines on which a job must have failed before it, not they, is doubted. */
+  /** Machines on which a job must have failed before it, not they, is to blame. */
   private static final int MACHINES = 3;
 
-  /** Tries of a doubted job at a time. */
+  /** Tries of a crash-looping job at a time. */
   static final int TRIES = 2;
 
   private static final Duration MAX_PAUSE = Duration.ofSeconds(30);
 
-  private final Map<String, Doubt> doubts = new HashMap<>();
+  private final Map<String, CrashLoop> loops = new HashMap<>();
 
-  private static final class Doubt {
+  private static final class CrashLoop {
     private final Set<String> machines = new HashSet<>();
     private Duration last;
     private int tries;
@@ -48,49 +48,49 @@
     if (succeeded) {
       return true;
     }
-    Doubt doubt = doubts.computeIfAbsent(id, key -> new Doubt());
+    CrashLoop loop = loops.computeIfAbsent(id, key -> new CrashLoop());
     // What has succeeded nowhere says no more of a machine by failing there again and again.
-    boolean first = doubt.machines.add(machine.name);
+    boolean first = loop.machines.add(machine.name);
     // Those that were under way together count as one try.
-    doubt.tries += doubted(doubt) && now.compareTo(doubt.ready(now)) >= 0 ? 1 : 0;
-    doubt.last = now;
-    if (doubted(doubt)) {
-      if (!doubt.told) {
-        doubt.told = true;
+    loop.tries += crashLooping(loop) && now.compareTo(loop.ready(now)) >= 0 ? 1 : 0;
+    loop.last = now;
+    if (crashLooping(loop)) {
+      if (!loop.told) {
+        loop.told = true;
         LOG.warn(
             "job {} fails on {} machines and has succeeded on none, last on {}: it gets {} tries at"
                 + " a time until it succeeds or is cancelled",
             id,
-            doubt.machines.size(),
+            loop.machines.size(),
             machine.name,
             TRIES);
       }
     }
-    return first && !doubted(doubt);
+    return first && !crashLooping(loop);
   }
 
   /** The job has ended, or a task of it has succeeded. */
   void drop(String job) {
-    doubts.remove(job);
+    loops.remove(job);
   }
 
   /**
-   * Whether the job is in doubt, of which no task has succeeded. A new leader goes by the records
-   * until it has seen for itself.
+   * Whether the job, of which no task has succeeded, is crash-looping. A new leader goes by the
+   * records until it has seen for itself.
    */
-  boolean doubted(JobEntry entry) {
-    Doubt doubt = doubts.get(entry.job().id());
-    return doubt != null && doubted(doubt) || recorded(entry);
+  boolean crashLooping(JobEntry entry) {
+    CrashLoop loop = loops.get(entry.job().id());
+    return loop != null && crashLooping(loop) || recorded(entry);
   }
 
   /** When the job may be tried again. */
   Duration ready(JobEntry entry, Duration now) {
-    Doubt doubt = doubts.get(entry.job().id());
-    return doubt == null ? now : doubt.ready(now);
+    CrashLoop loop = loops.get(entry.job().id());
+    return loop == null ? now : loop.ready(now);
   }
 
-  private static boolean doubted(Doubt doubt) {
-    return doubt.machines.size() >= MACHINES;
+  private static boolean crashLooping(CrashLoop loop) {
+    return loop.machines.size() >= MACHINES;
   }
 
   /** All that was ever tried has failed, but for what may be under way as a try. */
--- a/src/main/java/io/cherryspool/controller/Election.java
+++ b/src/main/java/io/cherryspool/controller/Election.java
@@ -133,18 +133,18 @@
    * Makes way for a node that workers reach better. The record only sets the order in which the
    * nodes stand, and whoever stands first is elected as ever. The lease ends whatever comes of it.
    */
-  public void yieldTo(String heir) {
+  public void yieldTo(String successor) {
     if (!leading() || yielding) {
       return;
     }
     yielding = true;
     long held = lease;
-    Records.Heir record = new Records.Heir(replica.term(), heir, node);
+    Records.Successor record = new Records.Successor(replica.term(), successor, node);
     budget.force(1);
     client
         .commit(
             Map.of(Records.TERM, replica.termVersion()),
-            List.of(new StateWire.Change(Records.HEIR, Records.heir(record), 0)))
+            List.of(new StateWire.Change(Records.SUCCESSOR, Records.successor(record), 0)))
         .whenComplete(
             (result, failure) -> {
               yielding = false;
@@ -157,13 +157,13 @@
             });
   }
 
-  /** How long to wait before standing: the heir first, and who made way for it last. */
+  /** How long to wait before standing: the successor first, and who made way for it last. */
   private Duration reserve() {
-    Records.Heir heir = replica.heir();
-    if (heir == null || heir.node().equals(node)) {
+    Records.Successor successor = replica.successor();
+    if (successor == null || successor.node().equals(node)) {
       return Duration.ZERO;
     }
-    return timings.stateLease().dividedBy(heir.by().equals(node) ? 1 : 4);
+    return timings.stateLease().dividedBy(successor.by().equals(node) ? 1 : 4);
   }
 
   private void tick() {
--- a/src/main/java/io/cherryspool/controller/Reign.java
+++ b/src/main/java/io/cherryspool/controller/LeaderTerm.java
@@ -31,8 +31,8 @@
  * One term of this node as leader: rebuilds ownership, then runs rounds, until it is stopped. All
  * its memory goes with it; the next leader starts from the records and the workers' reports.
  */
-final class Reign implements Duty {
-  private static final Logger LOG = LoggerFactory.getLogger(Reign.class);
+final class LeaderTerm implements Duty {
+  private static final Logger LOG = LoggerFactory.getLogger(LeaderTerm.class);
 
   /** Calls that ask machines for their state at a time; each holds a socket. */
   private static final int MAX_INSPECTING = 32;
@@ -53,7 +53,7 @@
   private final Ownership ownership;
   private final Proofs proofs = new Proofs();
   private final Stops stops = new Stops();
-  private final Doubts doubts = new Doubts();
+  private final CrashLoopBackoff backoff = new CrashLoopBackoff();
   private final Orders orders;
   private final Pusher pusher;
   private final Workload workload;
@@ -71,7 +71,7 @@
   private boolean stopped;
   private EventLoop.Timer timer;
 
-  Reign(
+  LeaderTerm(
       EventLoop loop,
       Replica replica,
       WorkerClient workers,
@@ -95,7 +95,7 @@
     this.ownership = new Ownership(replica);
     this.orders = new Orders(stops, tokens, proofs);
     this.pusher = new Pusher(loop, workers, tokens, timings.workerCall(), this::pushed);
-    this.workload = new Workload(replica, proofs, doubts, cluster.wall());
+    this.workload = new Workload(replica, proofs, backoff, cluster.wall());
     Judge judge = new Judge(timings, tokens, stops, started);
     this.rounds =
         new Rounds(
@@ -104,7 +104,7 @@
             writer,
             fleet,
             judge,
-            new Rounds.Ledger(ownership, proofs, stops, doubts),
+            new Rounds.Ledger(ownership, proofs, stops, backoff),
             tokens,
             cluster.teams(),
             cluster.catalog(),
--- a/src/main/java/io/cherryspool/controller/Succession.java
+++ b/src/main/java/io/cherryspool/controller/LeadershipTransfer.java
@@ -13,7 +13,7 @@
  * <p>Both must agree: many machines have stopped reporting here, and about as many come to the
  * others. Machines that died, hang or are cut off with their zone come to nobody.
  */
-final class Succession {
+final class LeadershipTransfer {
   /** Fewer than these, or a smaller part of the fleet, are worth no change of the leader. */
   private static final int LEAST = 3;
 
@@ -31,7 +31,7 @@
   /**
    * @param period how often the nodes tell one another
    */
-  Succession(Peers peers, Timings timings, Duration period) {
+  LeadershipTransfer(Peers peers, Timings timings, Duration period) {
     this.peers = peers;
     this.timings = timings;
     this.period = period;
@@ -57,7 +57,7 @@
    * hears of no other node can't know where its workers are; if it misses half of them, any other
    * node is the better guess.
    */
-  String heir(Reign.Reach reach, Duration now) {
+  String successor(LeaderTerm.Reach reach, Duration now) {
     Duration calm = timings.late().multipliedBy(2);
     if (reach.lost() < LEAST
         || reach.lost() * PART < reach.known()
--- a/src/main/java/io/cherryspool/controller/RoundView.java
+++ b/src/main/java/io/cherryspool/controller/RoundView.java
@@ -38,7 +38,7 @@
   private final Ownership ownership;
   private final Proofs proofs;
   private final Stops stops;
-  private final Doubts doubts;
+  private final CrashLoopBackoff backoff;
   private final Tokens tokens;
   private final Duration silence;
   private final Duration halfLease;
@@ -62,7 +62,7 @@
     this.ownership = ledger.ownership();
     this.proofs = ledger.proofs();
     this.stops = ledger.stops();
-    this.doubts = ledger.doubts();
+    this.backoff = ledger.backoff();
     this.tokens = tokens;
     this.silence = silence;
     this.halfLease = halfLease;
@@ -251,13 +251,13 @@
         }
       }
     }
-    if (!succeeded(entry) && doubts.doubted(entry)) {
-      Duration ready = doubts.ready(entry, now);
+    if (!succeeded(entry) && backoff.crashLooping(entry)) {
+      Duration ready = backoff.ready(entry, now);
       if (now.compareTo(ready) < 0) {
         free = List.of();
         until = until == null || ready.compareTo(until) < 0 ? ready : until;
       } else {
-        free = tries(free, Doubts.TRIES - (entry.ownedCount() - known.size()));
+        free = tries(free, CrashLoopBackoff.TRIES - (entry.ownedCount() - known.size()));
       }
     }
     Map<String, Integer> perZone = Map.of();
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -108,7 +108,7 @@
   }
 
   /** What the leader knows of owned tasks: by the records, by proof, and by its own decision. */
-  record Ledger(Ownership ownership, Proofs proofs, Stops stops, Doubts doubts) {}
+  record Ledger(Ownership ownership, Proofs proofs, Stops stops, CrashLoopBackoff backoff) {}
 
   /** A round's sizes and times, from the settings. */
   record Limits(
@@ -166,7 +166,7 @@
   void jobTouched(JobEntry entry) {
     view.jobTouched(entry);
     if (entry.outcome() != null) {
-      ledger.doubts().drop(entry.job().id());
+      ledger.backoff().drop(entry.job().id());
     }
   }
 
@@ -299,7 +299,7 @@
       machine.view = null;
     }
     if (done) {
-      ledger.doubts().drop(entry.job().id());
+      ledger.backoff().drop(entry.job().id());
       if (machine != null) {
         machine.failuresInARow = 0;
         Duration since = machine.runningSince.get(owned.id());
@@ -323,7 +323,7 @@
     }
     if (machine != null
         && verdict == Judge.Verdict.FAILED
-        && ledger.doubts().failed(entry, view.succeeded(entry), machine, now)) {
+        && ledger.backoff().failed(entry, view.succeeded(entry), machine, now)) {
       machine.failuresInARow++;
     }
   }
--- a/src/main/java/io/cherryspool/controller/Workload.java
+++ b/src/main/java/io/cherryspool/controller/Workload.java
@@ -39,7 +39,7 @@
 
   private final Replica replica;
   private final Proofs proofs;
-  private final Doubts doubts;
+  private final CrashLoopBackoff backoff;
   private final Supplier<Instant> wall;
   private final Map<String, JobEntry> recent = new LinkedHashMap<>();
   private final Map<String, Runs> runs = new HashMap<>();
@@ -51,10 +51,10 @@
     private int count;
   }
 
-  Workload(Replica replica, Proofs proofs, Doubts doubts, Supplier<Instant> wall) {
+  Workload(Replica replica, Proofs proofs, CrashLoopBackoff backoff, Supplier<Instant> wall) {
     this.replica = replica;
     this.proofs = proofs;
-    this.doubts = doubts;
+    this.backoff = backoff;
     this.wall = wall;
   }
 
@@ -92,7 +92,9 @@
 
   List<FleetPlan.Load> loads() {
     // No machine is rented for what does not seem to run anywhere.
-    recent.values().removeIf(entry -> age(entry.job()).compareTo(WINDOW) >= 0 || doubted(entry));
+    recent
+        .values()
+        .removeIf(entry -> age(entry.job()).compareTo(WINDOW) >= 0 || crashLooping(entry));
     List<FleetPlan.Load> result = new ArrayList<>();
     double all = 0;
     double lately = 0;
@@ -113,7 +115,7 @@
       result.add(new FleetPlan.Load(entry.job(), work * share, work * cpus * share, 0));
     }
     for (JobEntry entry : replica.active()) {
-      if (entry.outcome() == null && !doubted(entry)) {
+      if (entry.outcome() == null && !crashLooping(entry)) {
         Collection<Proofs.Proof> known = proofs.ofJob(entry.job().id()).values();
         int running = entry.ownedCount() - known.size();
         int done = entry.doneCount() + Proofs.done(known);
@@ -126,9 +128,9 @@
     return result;
   }
 
-  private boolean doubted(JobEntry entry) {
+  private boolean crashLooping(JobEntry entry) {
     Collection<Proofs.Proof> known = proofs.ofJob(entry.job().id()).values();
-    return entry.doneCount() + Proofs.done(known) == 0 && doubts.doubted(entry);
+    return entry.doneCount() + Proofs.done(known) == 0 && backoff.crashLooping(entry);
   }
 
   private double work(Job job, int tasks) {
--- a/src/main/java/io/cherryspool/store/Records.java
+++ b/src/main/java/io/cherryspool/store/Records.java
@@ -17,7 +17,7 @@
   public static final String PREFIX = "c/";
   public static final String TERM = "c/term";
   public static final String LEADER = "c/leader";
-  public static final String HEIR = "c/heir";
+  public static final String SUCCESSOR = "c/successor";
   public static final String CATALOG = "c/catalog";
   static final String JOBS = "c/jobs/";
   static final String OUTCOMES = "c/outcomes/";
@@ -32,7 +32,7 @@
   public record Leader(long term, String node, String instance, long lease) {}
 
   /** Whom the leader of the term has made way for, and who that leader was. */
-  public record Heir(long term, String node, String by) {}
+  public record Successor(long term, String node, String by) {}
 
   public static String job(String id) {
     return JOBS + id;
@@ -75,12 +75,15 @@
         node.path("lease").longValue());
   }
 
-  public static JsonNode heir(Heir heir) {
-    return Json.object().put("term", heir.term()).put("node", heir.node()).put("by", heir.by());
+  public static JsonNode successor(Successor successor) {
+    return Json.object()
+        .put("term", successor.term())
+        .put("node", successor.node())
+        .put("by", successor.by());
   }
 
-  static Heir readHeir(JsonNode node) {
-    return new Heir(
+  static Successor readSuccessor(JsonNode node) {
+    return new Successor(
         node.path("term").longValue(), node.path("node").asText(), node.path("by").asText());
   }
 
--- a/src/main/java/io/cherryspool/store/Replica.java
+++ b/src/main/java/io/cherryspool/store/Replica.java
@@ -48,7 +48,7 @@
   private long term;
   private long termVersion;
   private Records.Leader leader;
-  private Records.Heir heir;
+  private Records.Successor successor;
   private List<MachineType> catalog;
   private long catalogVersion;
 
@@ -158,8 +158,8 @@
   }
 
   /** Whom the last leader of this term made way for; null if it did not. */
-  public Records.Heir heir() {
-    return heir != null && heir.term() == term ? heir : null;
+  public Records.Successor successor() {
+    return successor != null && successor.term() == term ? successor : null;
   }
 
   /** The machine types as some leader last wrote them, or null. */
@@ -389,7 +389,7 @@
     term = 0;
     termVersion = 0;
     leader = null;
-    heir = null;
+    successor = null;
     catalog = null;
     catalogVersion = 0;
     Set<String> later = new HashSet<>();
@@ -424,8 +424,8 @@
       termVersion = value == null ? 0 : event.version();
     } else if (key.equals(Records.LEADER)) {
       leader = value == null ? null : Records.readLeader(value);
-    } else if (key.equals(Records.HEIR)) {
-      heir = value == null ? null : Records.readHeir(value);
+    } else if (key.equals(Records.SUCCESSOR)) {
+      successor = value == null ? null : Records.readSuccessor(value);
     } else if (key.equals(Records.CATALOG) && value != null) {
       setCatalog(value, event.version());
     }
--- a/src/test/java/io/cherryspool/controller/DoubtsTest.java
+++ b/src/test/java/io/cherryspool/controller/CrashLoopBackoffTest.java
@@ -12,10 +12,10 @@
 import org.junit.jupiter.api.Test;
 
 /** Which jobs, and which machines, are to blame for tasks that fail. */
-class DoubtsTest {
+class CrashLoopBackoffTest {
   private static final int CAP = 20;
 
-  private final Doubts doubts = new Doubts();
+  private final CrashLoopBackoff backoff = new CrashLoopBackoff();
   private final JobEntry entry =
       JobEntryFixture.running(JobFixture.job("req-000001", Priority.NORMAL, 9, 1), 6, "host-0");
 
@@ -24,7 +24,8 @@
   }
 
   private boolean fails(boolean succeeded, int machine, double at) {
-    return doubts.failed(entry, succeeded, machine(machine), Duration.ofMillis((long) (at * 1000)));
+    return backoff.failed(
+        entry, succeeded, machine(machine), Duration.ofMillis((long) (at * 1000)));
   }
 
   private static JobEntry recorded(int... failures) {
@@ -32,14 +33,14 @@
   }
 
   @Test
-  void whatFailsOnSeveralMachinesAndNeverSucceedsIsDoubtedAndNoMachineBlamedForIt() {
+  void whatFailsOnSeveralMachinesAndNeverSucceedsIsHeldBackAndNoMachineBlamedForIt() {
     assertTrue(fails(false, 1, 0), "it may be the machine");
     assertFalse(fails(false, 1, 0), "which is not three times as bad for three tasks of one job");
     assertFalse(fails(false, 1, 0));
     assertTrue(fails(false, 2, 0));
-    assertFalse(doubts.doubted(entry));
+    assertFalse(backoff.crashLooping(entry));
     assertFalse(fails(false, 3, 0));
-    assertTrue(doubts.doubted(entry));
+    assertTrue(backoff.crashLooping(entry));
   }
 
   @Test
@@ -47,11 +48,11 @@
     for (int i = 0; i < 5; i++) {
       assertTrue(fails(true, 1, i));
     }
-    assertFalse(doubts.doubted(entry));
+    assertFalse(backoff.crashLooping(entry));
   }
 
   @Test
-  void triesGrowRarerAndASuccessEndsTheDoubt() {
+  void triesGrowRarerAndASuccessEndsTheBackoff() {
     double at = 0;
     for (int i = 0; i < 3; i++) {
       fails(false, i, at);
@@ -59,7 +60,7 @@
     double pause = 0;
     for (int i = 0; i < 12; i++) {
       Duration now = Duration.ofMillis((long) (at * 1000));
-      double next = doubts.ready(entry, now).minus(now).toMillis() / 1000.0;
+      double next = backoff.ready(entry, now).minus(now).toMillis() / 1000.0;
       assertTrue(next >= pause, next + " after " + pause);
       pause = next;
       at += pause;
@@ -68,17 +69,17 @@
       at += 0.01;
     }
     assertEquals(30, pause);
-    doubts.drop("req-000001");
-    assertFalse(doubts.doubted(entry));
+    backoff.drop("req-000001");
+    assertFalse(backoff.crashLooping(entry));
   }
 
   /** A new leader has only the records, in which lapses count as failures as well. */
   @Test
-  void aNewLeaderDoubtsWhatHasFailedInAllItsTries() {
-    assertTrue(doubts.doubted(recorded(1, 1, 1)));
-    assertTrue(doubts.doubted(recorded(4, 0, 3)), "two of its tasks may be under way");
-    assertFalse(doubts.doubted(recorded(1, 1)));
-    assertFalse(doubts.doubted(recorded(3, 0, 0, 0, 0)), "some fail, most are not known");
+  void aNewLeaderHoldsBackWhatHasFailedInAllItsTries() {
+    assertTrue(backoff.crashLooping(recorded(1, 1, 1)));
+    assertTrue(backoff.crashLooping(recorded(4, 0, 3)), "two of its tasks may be under way");
+    assertFalse(backoff.crashLooping(recorded(1, 1)));
+    assertFalse(backoff.crashLooping(recorded(3, 0, 0, 0, 0)), "some fail, most are not known");
   }
 
   @Test
--- a/src/test/java/io/cherryspool/controller/SuccessionTest.java
+++ b/src/test/java/io/cherryspool/controller/LeadershipTransferTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 /** When a leader makes way, and when it must not. */
-class SuccessionTest {
+class LeadershipTransferTest {
   private static final Duration PERIOD = Duration.ofMillis(500);
   private static final Duration START = Duration.ofSeconds(100);
 
@@ -22,7 +22,7 @@
           Duration.ofSeconds(2),
           Duration.ofSeconds(5));
   private final Peers peers = new Peers();
-  private final Succession succession = new Succession(peers, timings, PERIOD);
+  private final LeadershipTransfer transfer = new LeadershipTransfer(peers, timings, PERIOD);
   private Duration now = START;
 
   private boolean acting = true;
@@ -30,12 +30,12 @@
   private String after(double seconds, int known, int lost, Mesh.Word... words) {
     Duration end = now.plusMillis((long) (seconds * 1000));
     for (; now.compareTo(end) < 0; now = now.plus(PERIOD)) {
-      succession.tick(now, acting);
+      transfer.tick(now, acting);
       for (Mesh.Word word : words) {
         peers.heard(word, now);
       }
     }
-    return succession.heir(new Reign.Reach(known, lost), now);
+    return transfer.successor(new LeaderTerm.Reach(known, lost), now);
   }
 
   private static Mesh.Word says(String node, boolean state, int strays) {
@@ -43,7 +43,7 @@
   }
 
   @Test
-  void theNodeThatHearsMostOfTheLostOnesIsTheHeir() {
+  void theNodeThatHearsMostOfTheLostOnesIsTheSuccessor() {
     assertEquals("b", after(20, 900, 850, says("a", true, 430), says("b", true, 600)));
     assertEquals("a", after(1, 900, 850, says("a", true, 430), says("b", false, 600)));
     assertEquals("b", after(1, 900, 850, says("a", true, 210), says("b", true, 230)), "together");
@@ -61,7 +61,7 @@
   void withoutWordFromAnyNodeHalfOfTheMachinesDecide() {
     assertNull(after(20, 900, 850), "it never heard of another node");
     assertNull(after(1, 900, 850, says("a", true, 0)), "nobody else hears them");
-    assertEquals(Succession.ANYBODY, after(3, 900, 450));
+    assertEquals(LeadershipTransfer.ANYBODY, after(3, 900, 450));
     assertNull(after(1, 900, 449));
   }
 
--- a/src/test/java/io/cherryspool/sim/LostWorkersTest.java
+++ b/src/test/java/io/cherryspool/sim/LostWorkersTest.java
@@ -11,7 +11,7 @@
 /**
  * A leader that lost its workers, and nothing else, stayed leader: the other nodes sent the workers
  * back to it until all leases had run out, and 2,007 tasks were killed on one day. With nobody ever
- * named as heir each seed fails, as the same node still leads after 14 s.
+ * named as successor each seed fails, as the same node still leads after 14 s.
  */
 class LostWorkersTest {
   @ParameterizedTest
