Start a node without picocli, whose classes no class-data archive takes

Cause: processor time from start. The one form in which the platform starts a node is taken up directly; all else, help and mistakes included, goes through picocli as before.

--- a/src/main/java/io/cherryspool/cli/Main.java
+++ b/src/main/java/io/cherryspool/cli/Main.java
@@ -1,101 +1,25 @@
 package io.cherryspool.cli;
 
 import java.nio.file.Path;
-import picocli.CommandLine;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.IVersionProvider;
-import picocli.CommandLine.Model.CommandSpec;
-import picocli.CommandLine.Option;
-import picocli.CommandLine.ParameterException;
-import picocli.CommandLine.Spec;
 
-/** The command line. */
-@Command(
-    name = "cherryspool",
-    mixinStandardHelpOptions = true,
-    versionProvider = Main.Version.class,
-    description = "A small cluster scheduler: three controllers, no disk.")
-public final class Main implements Runnable {
-  private static final int BAD_SETTINGS = 2;
+/** The program's entry. */
+public final class Main {
+  private Main() {}
 
-  @Spec private CommandSpec spec;
-
-  public static void main(String[] args) {
+  /**
+   * The one form in which the platform starts a node is taken up here. Everything else goes through
+   * picocli, whose classes no class-data archive takes, since they are of a format before Java 6:
+   * loading them made up a third of a starting node's processor time, seconds on a small machine.
+   */
+  public static void main(String[] args) throws InterruptedException {
     Logging.configure(System.getenv("LOG_LEVEL"));
-    int status = new CommandLine(new Main()).execute(args);
+    boolean plain = args.length == 3 && args[0].equals("serve") && args[1].equals("--config");
+    int status =
+        plain
+            ? Server.serve(Path.of(args[2]), Path.of(Server.OPERATORS_FILE))
+            : Commands.execute(args);
     if (status != 0) {
       System.exit(status);
     }
   }
-
-  @Override
-  public void run() {
-    throw new ParameterException(spec.commandLine(), "Say what to do: serve or check-config.");
-  }
-
-  /** The files that both commands read. */
-  static final class Files {
-    @Option(
-        names = "--config",
-        required = true,
-        paramLabel = "FILE",
-        description = "The platform's settings, JSON.")
-    Path config;
-
-    @Option(
-        names = "--operators",
-        paramLabel = "FILE",
-        defaultValue = "deploy/cherryspool.xml",
-        description = "The operators' settings, XML (default: ${DEFAULT-VALUE}).")
-    Path operators;
-  }
-
-  @Command(
-      name = "serve",
-      mixinStandardHelpOptions = true,
-      description = "Runs a controller node until it is ended.")
-  int serve(@CommandLine.Mixin Files files) throws InterruptedException {
-    return Server.load(files.config, files.operators)
-        .map(
-            settings -> {
-              try {
-                return Server.run(settings);
-              } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return 1;
-              }
-            })
-        .orElse(BAD_SETTINGS);
-  }
-
-  @Command(
-      name = "check-config",
-      mixinStandardHelpOptions = true,
-      description = "Checks both settings files and starts nothing.")
-  int checkConfig(@CommandLine.Mixin Files files) {
-    return Server.load(files.config, files.operators)
-        .map(
-            settings -> {
-              System.out.println("settings of " + settings.platform().name() + " are fine");
-              return 0;
-            })
-        .orElse(BAD_SETTINGS);
-  }
-
-  @Command(
-      name = "rehearse",
-      hidden = true,
-      description = "Loads what a starting node needs; the build makes the class-data archive so.")
-  int rehearse() throws Exception {
-    return Rehearsal.run();
-  }
-
-  /** The version in the jar's manifest. */
-  static final class Version implements IVersionProvider {
-    @Override
-    public String[] getVersion() {
-      String version = Main.class.getPackage().getImplementationVersion();
-      return new String[] {"cherryspool " + (version == null ? "development" : version)};
-    }
-  }
 }
--- a/src/main/java/io/cherryspool/cli/Server.java
+++ b/src/main/java/io/cherryspool/cli/Server.java
@@ -31,8 +31,20 @@
   /** Of those, the part for calls; the mesh, files and connections just closing have the rest. */
   private static final double OWN_CALLS = 0.8;
 
+  /** The exit status when the settings hold a mistake. */
+  static final int BAD_SETTINGS = 2;
+
+  /** Where the operators' settings are if nobody says otherwise. */
+  static final String OPERATORS_FILE = "deploy/cherryspool.xml";
+
   private Server() {}
 
+  /** Runs a node until it is ended; returns the exit status. */
+  static int serve(Path config, Path operators) throws InterruptedException {
+    Optional<Loaded> settings = load(config, operators);
+    return settings.isPresent() ? run(settings.get()) : BAD_SETTINGS;
+  }
+
   /** Both settings, checked. */
   record Loaded(Settings platform, OperatorSettings operators) {}
 
@@ -46,7 +58,7 @@
     }
   }
 
-  static int run(Loaded settings) throws InterruptedException {
+  private static int run(Loaded settings) throws InterruptedException {
     Settings platform = settings.platform();
     NettyLoop loop = new NettyLoop();
     Controller[] controller = new Controller[1];
