--- /dev/null
+++ b/src/main/java/io/cherryspool/cli/RehearsalServices.java
@@ -0,0 +1,153 @@
+package io.cherryspool.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.http.Handler;
+import io.cherryspool.http.Reply;
+import io.cherryspool.http.Request;
+import io.cherryspool.model.MachineType;
+import io.cherryspool.model.Resources;
+import io.cherryspool.wire.CloudWire;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.WireException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * What a rehearsing node meets: a state service that grants everything, a cloud with one machine,
+ * and the worker on it. It is as much as a node needs to lead, place a task and see it done.
+ */
+final class RehearsalServices implements Handler {
+  static final String ZONE = "none";
+
+  private static final List<MachineType> TYPES =
+      List.of(
+          new MachineType(
+              "box", new Resources(4, 0, 16), 50, 1, 1, 1, Duration.ofSeconds(1), List.of(ZONE)));
+
+  private final Endpoint self;
+  private final ArrayNode events = Json.array();
+  private final List<CompletableFuture<Reply>> watches = new ArrayList<>();
+  private final ArrayNode pieces = Json.array();
+  private long revision = 1;
+  private long sequence;
+  private long token;
+
+  RehearsalServices(Endpoint self) {
+    this.self = self;
+  }
+
+  @Override
+  public CompletableFuture<Reply> handle(Request request) {
+    String path = request.path();
+    try {
+      return switch (path) {
+        case "/keys" -> done(page("entries").put("epoch", revision));
+        case "/follow" -> follow(request.target());
+        case "/commit" -> commit(Json.parseObject(request.body()));
+        case "/catalog" -> done(CloudWire.encodeCatalog(TYPES));
+        case "/machines" -> done(request.method().equals("GET") ? machines() : rented());
+        case "/commands" -> commands(Json.parseObject(request.body()));
+        case "/inspect" -> done(report());
+        default -> done(Json.object().put("tenancy", 1));
+      };
+    } catch (WireException e) {
+      return CompletableFuture.completedFuture(Reply.json(400, new byte[0]));
+    }
+  }
+
+  /** The worker's next report. */
+  ObjectNode report() {
+    ObjectNode node = Json.object().put("spindle", "host-000001").put("endpoint", self.toString());
+    node.put("build", "box").put("yard", ZONE).put("loaners", false);
+    node.put("shift", 1).put("tick", ++sequence).put("baton", token);
+    node.set("pieces", pieces.deepCopy());
+    return node;
+  }
+
+  /** The worker takes in the token of an answer. */
+  void told(JsonNode answer) {
+    token = Math.max(token, answer.path("baton").longValue());
+  }
+
+  /** All that the worker has is done; false if it has nothing yet. */
+  boolean finish() {
+    for (JsonNode piece : pieces) {
+      ((ObjectNode) piece).put("status", "ended").put("cause", "done");
+    }
+    return !pieces.isEmpty();
+  }
+
+  private static ObjectNode page(String items) {
+    ObjectNode page = Json.object().put("has_next", false);
+    page.putArray(items);
+    return page;
+  }
+
+  private static ObjectNode rented() {
+    return page("spindles");
+  }
+
+  private ObjectNode machines() {
+    ObjectNode page = page("spindles");
+    ((ArrayNode) page.path("spindles"))
+        .addObject()
+        .put("ref", "host-000001")
+        .put("endpoint", self.toString())
+        .put("build", "box")
+        .put("yard", ZONE)
+        .put("loaners", false)
+        .put("status", "running")
+        .put("held_s", 10.0);
+    return page;
+  }
+
+  private CompletableFuture<Reply> follow(String target) {
+    if (target.endsWith("block_ms=0")) {
+      return done(changes());
+    }
+    CompletableFuture<Reply> watch = new CompletableFuture<>();
+    watches.add(watch);
+    return watch;
+  }
+
+  /** Everything from the start, of which a node takes what it does not have. */
+  private ObjectNode changes() {
+    ObjectNode changes = Json.object().put("epoch", revision);
+    changes.set("events", events.deepCopy());
+    return changes;
+  }
+
+  private CompletableFuture<Reply> commit(JsonNode body) {
+    revision++;
+    for (JsonNode change : body.path("apply")) {
+      events.add(((ObjectNode) change).put("stamp", revision));
+    }
+    List<CompletableFuture<Reply>> due = List.copyOf(watches);
+    watches.clear();
+    due.forEach(watch -> watch.complete(Reply.json(200, Json.bytes(changes()))));
+    return done(Json.object().put("epoch", revision));
+  }
+
+  private CompletableFuture<Reply> commands(JsonNode body) {
+    told(body);
+    for (JsonNode order : body.path("orders")) {
+      if (order.path("verb").asText().equals("launch")) {
+        pieces
+            .addObject()
+            .put("piece", order.path("piece").asText())
+            .put("try", order.path("try").intValue())
+            .put("status", "running");
+      }
+    }
+    return done(report());
+  }
+
+  private static CompletableFuture<Reply> done(JsonNode body) {
+    return CompletableFuture.completedFuture(Reply.json(200, Json.bytes(body)));
+  }
+}
