Listen once the records are read, or after 6 s without them

A refused connection costs next to nothing, and the worker comes again a second later. In an outage of the state service the node listens all the same, 6 s late.

--- a/src/main/java/io/cherryspool/cli/Server.java
+++ b/src/main/java/io/cherryspool/cli/Server.java
@@ -13,10 +13,13 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -31,6 +34,9 @@
   /** Of those, the part for calls; the mesh, files and connections just closing have the rest. */
   private static final double OWN_CALLS = 0.8;
 
+  /** So long a starting node reads the records before it listens without them. */
+  private static final Duration UNLOADED = Duration.ofSeconds(6);
+
   /** The exit status when the settings hold a mistake. */
   static final int BAD_SETTINGS = 2;
 
@@ -72,23 +78,32 @@
     int connections = (int) (platform.fdLimit() * (1 - OWN_SOCKETS));
     NettyServer server = new NettyServer(loop, controller[0], connections);
     Gauge.builder("cherryspool.connections", server::connections).register(registry);
+    List<Runnable> stops = List.of(controller[0]::stop, mesh::stop, loop::shutdown);
+    Runtime.getRuntime()
+        .addShutdownHook(new Thread(() -> stops.forEach(loop::execute), "shutdown"));
+    CountDownLatch loaded = new CountDownLatch(1);
     try {
-      server.bind(platform.listen());
       mesh.bind(platform.mesh());
+      loop.execute(mesh::start);
+      loop.execute(() -> controller[0].onLoaded(loaded::countDown));
+      loop.execute(controller[0]::start);
+      // Until then the node could only turn away who comes. After a restart of all, a thousand
+      // workers come at once, and each refused connection costs it next to nothing.
+      boolean early = !loaded.await(UNLOADED.toMillis(), TimeUnit.MILLISECONDS);
+      server.bind(platform.listen());
+      LOG.info(
+          "{} in {} listens on {}{}",
+          platform.name(),
+          platform.zone(),
+          platform.listen(),
+          early ? ", with no records read yet" : "");
     } catch (InterruptedException e) {
       throw e;
     } catch (Exception e) {
       // Netty throws the checked BindException without declaring it.
       System.err.println("cherryspool: " + e.getMessage());
-      loop.shutdown();
       return 1;
     }
-    List<Runnable> stops = List.of(controller[0]::stop, mesh::stop, loop::shutdown);
-    Runtime.getRuntime()
-        .addShutdownHook(new Thread(() -> stops.forEach(loop::execute), "shutdown"));
-    LOG.info("{} in {} listens on {}", platform.name(), platform.zone(), platform.listen());
-    loop.execute(mesh::start);
-    loop.execute(controller[0]::start);
     loop.join();
     return 0;
   }
--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -166,6 +166,11 @@
     replica.stop();
   }
 
+  /** Calls back once the records are first read. */
+  public void onLoaded(Runnable listener) {
+    replica.onLoaded(listener);
+  }
+
   /** Whether this node leads now and may act for the controllers. */
   public boolean leads() {
     return leaderTerm != null && election.authorized();
--- a/src/main/java/io/cherryspool/store/Replica.java
+++ b/src/main/java/io/cherryspool/store/Replica.java
@@ -42,6 +42,7 @@
   private final Duration slow;
   private final List<Runnable> listeners = new ArrayList<>();
   private final List<Watcher> watchers = new ArrayList<>();
+  private Runnable onLoaded = () -> {};
 
   private final Map<String, JobEntry> jobs = new HashMap<>();
   private final Map<String, JobEntry> active = new HashMap<>();
@@ -96,6 +97,11 @@
     watchers.remove(watcher);
   }
 
+  /** Called once all keys have first been read. */
+  public void onLoaded(Runnable listener) {
+    onLoaded = listener;
+  }
+
   /** Called after each batch of changes. */
   public void onChange(Runnable listener) {
     listeners.add(listener);
@@ -378,6 +384,8 @@
               loading = false;
               loaded = true;
               LOG.info("read {} keys up to revision {}", found.size(), revision);
+              onLoaded.run();
+              onLoaded = () -> {};
               listeners.forEach(Runnable::run);
               watch();
             });
