--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/RuleCheckerTest.java
@@ -0,0 +1,147 @@
+package io.cherryspool.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cherryspool.model.Job;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** That the checks of the simulation can fail: each is told of what it must not let pass. */
+class RuleCheckerTest {
+  private final Cluster cluster = Cluster.of(1, 3);
+  private final RuleChecker rules = cluster.rules();
+
+  private Job accepted(int tasks) {
+    Job job = cluster.job("blue", tasks, 4, Duration.ofSeconds(20));
+    rules.submitted(job);
+    rules.accepted(job.id());
+    return job;
+  }
+
+  private void breaks(String rule) {
+    AssertionError error = assertThrows(AssertionError.class, () -> rules.check(cluster.workers()));
+    assertTrue(error.getMessage().startsWith(rule + ":"), error.getMessage());
+  }
+
+  private void told(Job job, String status) {
+    rules.told(job.id(), status, cluster.time().now());
+  }
+
+  @Test
+  void anEndThatIsTakenBackOrWasNeverReached() {
+    told(accepted(1), "done");
+    breaks("not_done");
+  }
+
+  @Test
+  void aDoneJobThatRunsAgain() {
+    Job job = accepted(1);
+    rules.finished(job.id() + "/0");
+    told(job, "done");
+    told(job, "running");
+    breaks("went_back");
+  }
+
+  @Test
+  void aCancelThatNobodyAskedFor() {
+    told(accepted(1), "withdrawn");
+    breaks("went_back");
+  }
+
+  @Test
+  void anAcceptedJobThatIsNotFound() {
+    told(accepted(1), "404");
+    breaks("forgotten");
+  }
+
+  @Test
+  void aQuestionThatWasAskedBeforeTheJobWasAcceptedMayFindNothing() {
+    Duration asked = cluster.time().now();
+    cluster.run(1);
+    Job job = accepted(1);
+    rules.told(job.id(), "404", asked);
+    rules.check(cluster.workers());
+  }
+
+  /** Unanswered for 75 s after the troubles, and not a second less. */
+  @Test
+  void aJobThatNobodyAnswersForAfterTheTroubles() {
+    accepted(1);
+    cluster.run(200);
+    rules.quietFrom(cluster.time().now());
+    cluster.run(75);
+    rules.checkQuiet(cluster.workers());
+    rules.check(cluster.workers());
+    cluster.run(0.1);
+    rules.checkQuiet(cluster.workers());
+    breaks("forgotten");
+  }
+
+  /** Room for 90 s, on a machine that fits, for a job of a team below its limit. */
+  @Test
+  void aJobThatIsLeftWaitingAlthoughThereIsRoom() {
+    cluster.run(25);
+    Job keeps = cluster.job("red", 1, 4, Duration.ofSeconds(400));
+    cluster.users().submit(keeps);
+    Job left = accepted(1);
+    rules.quietFrom(cluster.time().now());
+    for (int i = 0; i <= 90; i++) {
+      told(left, "pending");
+      rules.checkQuiet(cluster.workers());
+      cluster.run(1);
+    }
+    rules.checkQuiet(cluster.workers());
+    assertEquals(1, cluster.workers().size(), "one machine, with room for three more");
+    breaks("left_waiting");
+  }
+
+  @Test
+  void anAcceptedJobWithoutAnEnd() {
+    Job other = accepted(1);
+    rules.finished(other.id() + "/0");
+    rules.checkServed();
+    breaks("nothing_ran");
+  }
+
+  /** More than half of a class's largest jobs began later than four minutes after they came. */
+  @Test
+  void theLargestOfAClassThatBeginTooLate() {
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 0; i < 11; i++) {
+      jobs.add(accepted(i < 2 ? 50 : 1));
+    }
+    cluster.run(30);
+    StandInWorker machine = anyMachine();
+    for (Job job : jobs.subList(2, 11)) {
+      rules.started(machine, job.id() + "/0", List.of());
+    }
+    cluster.run(220);
+    jobs.subList(0, 2).forEach(job -> rules.started(machine, job.id() + "/0", List.of()));
+    for (Job job : jobs) {
+      for (int i = 0; i < job.tasks(); i++) {
+        rules.finished(job.id() + "/" + i);
+      }
+      told(job, "done");
+    }
+    rules.checkServed();
+    breaks("largest_late");
+  }
+
+  @Test
+  void startsAfterACancelAreCounted() {
+    Job job = accepted(1);
+    rules.cancelAsked(job.id());
+    told(job, "withdrawn");
+    cluster.run(5);
+    rules.started(anyMachine(), job.id() + "/0", List.of());
+    assertEquals(1, rules.startsAfterCancel());
+  }
+
+  private StandInWorker anyMachine() {
+    return cluster.workers().iterator().next();
+  }
+}
