--- a/src/test/java/io/cherryspool/sim/GapTest.java
+++ b/src/test/java/io/cherryspool/sim/GapTest.java
@@ -23,27 +23,23 @@
  * <p>Each day asserts that the meeting came about: tasks of the jobs ran when another node
  * confirmed, the old leader refused and not yet replaced, and their leases were renewed after that.
  */
-class GapTest {
-  private static final Duration LONG = Duration.ofSeconds(150);
+class GapTest extends MeetingFixture {
   private static final Duration OUTAGE = Cluster.CANCEL.plusSeconds(30);
 
-  private Cluster cluster;
   private Job job;
   private ControllerNode old;
 
   /** Tasks run long, under a leader that is well settled. */
   private void runTasks(long seed) {
-    submit(seed, 12);
+    begin(seed, 12);
     cluster.run(20 + seed % 5);
     assertFalse(cluster.running(job).isEmpty(), "tasks run");
   }
 
-  private void submit(long seed, int tasks) {
-    cluster = Cluster.of(seed, 3);
-    cluster.run(25);
+  private void begin(long seed, int tasks) {
+    settle(seed, 3);
     old = cluster.leader();
-    job = cluster.job("blue", tasks, 4, LONG);
-    cluster.users().submit(job);
+    job = submit("blue", tasks, 4, Duration.ofSeconds(150));
   }
 
   /** Another node confirms the cancel while the leader alone is refused. */
@@ -156,10 +152,6 @@
     return old.address().host();
   }
 
-  private static String host(StandInWorker worker) {
-    return worker.machine().host;
-  }
-
   /** Each at a moment of the seed's: before the cancel, between it and the outage, or after. */
   @ParameterizedTest
   @EnumSource(Middle.class)
@@ -185,7 +177,7 @@
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
   void soAreThoseThatHadNotBegunYet(long seed) {
-    submit(seed, 40);
+    begin(seed, 40);
     cluster.cloud().bootFast(true);
     // Within two seconds some tasks run, some fetch, and most wait for machines that boot.
     cluster.run(0.2 + 0.3 * seed);
