--- a/src/test/java/io/cherryspool/sim/MessageMeetingsTest.java
+++ b/src/test/java/io/cherryspool/sim/MessageMeetingsTest.java
@@ -141,7 +141,10 @@
     cluster.users().lookClosely(true);
     cluster.state().slow(1600);
     cluster.run(3);
-    cluster.users().cancel(job.id());
+    ControllerNode leader = cluster.leader();
+    leader.refuse(Duration.ofSeconds(14));
+    cluster.run(0.1);
+    cluster.users().cancel(job.id(), cluster.other(leader).address());
     for (int i = 0; i < 400 && cluster.rules().cancelTold(job.id()) == null; i++) {
       cluster.run(0.1);
     }
