Ask in one place of the cluster who leads beside a node; drop an unused question

Three tests searched the nodes for another leader, each in its own words; RuleChecker.isAccepted was called by nobody. Tests only: what they assert is as before.

--- a/src/test/java/io/cherryspool/sim/Cluster.java
+++ b/src/test/java/io/cherryspool/sim/Cluster.java
@@ -310,6 +310,11 @@
     return nodes.stream().filter(ControllerNode::leads).findFirst();
   }
 
+  /** Another than this one that leads. */
+  Optional<ControllerNode> leadingBeside(ControllerNode old) {
+    return nodes.stream().filter(node -> node != old && node.leads()).findFirst();
+  }
+
   /** Who leads; a test that calls this rests on there being one. */
   ControllerNode leader() {
     return leading().orElseThrow(() -> new AssertionError("nobody leads at " + time.seconds()));
--- a/src/test/java/io/cherryspool/sim/GapTest.java
+++ b/src/test/java/io/cherryspool/sim/GapTest.java
@@ -103,11 +103,7 @@
     runTasks(seed);
     old.refuse(Duration.ofSeconds(14));
     cluster.run(apart);
-    ControllerNode next =
-        cluster.nodes().stream()
-            .filter(node -> node != old && node.leads())
-            .findFirst()
-            .orElse(cluster.other(old));
+    ControllerNode next = cluster.leadingBeside(old).orElse(cluster.other(old));
     next.refuse(Duration.ofSeconds(14));
     cancelThrough(
         cluster.nodes().stream()
--- a/src/test/java/io/cherryspool/sim/LeaderMeetingsTest.java
+++ b/src/test/java/io/cherryspool/sim/LeaderMeetingsTest.java
@@ -9,7 +9,6 @@
 import io.cherryspool.model.Job;
 import java.time.Duration;
 import java.util.List;
-import java.util.function.Predicate;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -28,11 +27,7 @@
     ControllerNode next = null;
     for (int i = 0; i < 10_000 && next == null; i++) {
       cluster.run(0.001);
-      next =
-          cluster.nodes().stream()
-              .filter(node -> node != old && node.leads())
-              .findFirst()
-              .orElse(null);
+      next = cluster.leadingBeside(old).orElse(null);
     }
     assertNotNull(next, "another is elected");
     assertTrue(old.leads(), "the old one still answers its workers");
@@ -188,10 +183,10 @@
     awaitRunning(job, 18);
     ControllerNode old = cluster.leader();
     cluster.net().cutZone(old.zone(), Duration.ofSeconds(60));
-    for (int i = 0; i < 1000 && cluster.nodes().stream().noneMatch(led(old)); i++) {
+    for (int i = 0; i < 1000 && cluster.leadingBeside(old).isEmpty(); i++) {
       cluster.run(0.01);
     }
-    assertTrue(cluster.nodes().stream().anyMatch(led(old)), "another is elected");
+    assertTrue(cluster.leadingBeside(old).isPresent(), "another is elected");
     // It reads the list of machines, and then can delete none.
     cluster.run(0.8 + 0.2 * seed);
     cluster.cloud().setDown(true);
@@ -206,8 +201,4 @@
     cluster.run(300);
     allEnd(List.of(job));
   }
-
-  private static Predicate<ControllerNode> led(ControllerNode old) {
-    return node -> node != old && node.leads();
-  }
 }
--- a/src/test/java/io/cherryspool/sim/RuleChecker.java
+++ b/src/test/java/io/cherryspool/sim/RuleChecker.java
@@ -86,10 +86,6 @@
     return cancelTold.get(id);
   }
 
-  boolean isAccepted(String id) {
-    return accepted.containsKey(id);
-  }
-
   boolean ended(String id) {
     return ended.containsKey(id);
   }
