Read and write JSON trees with Jackson's streaming core instead of a mapper

Cause: the first use of an ObjectMapper loads type resolution, serializers, date formats and locale data; by the class-load log 150 of the first 400 ms of a start on a busy machine lay between its first class and its last. Ruled out: the parsing itself, which is the same core.

--- a/src/main/java/io/cherryspool/config/Settings.java
+++ b/src/main/java/io/cherryspool/config/Settings.java
@@ -1,9 +1,9 @@
 package io.cherryspool.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.cherryspool.http.Endpoint;
 import io.cherryspool.model.Team;
+import io.cherryspool.wire.JsonTree;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -66,7 +66,7 @@
   public static Settings load(Path file) throws ConfigException {
     JsonNode root;
     try {
-      root = new ObjectMapper().readTree(Files.readAllBytes(file));
+      root = JsonTree.read(Files.readAllBytes(file));
     } catch (IOException e) {
       throw new ConfigException(file + ": " + firstLine(e));
     }
--- a/src/main/java/io/cherryspool/wire/Json.java
+++ b/src/main/java/io/cherryspool/wire/Json.java
@@ -1,11 +1,6 @@
 package io.cherryspool.wire;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.StreamReadFeature;
-import com.fasterxml.jackson.core.json.JsonReadFeature;
-import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -17,13 +12,6 @@
 
 /** Reading and writing JSON trees, with checks that name the field. */
 public final class Json {
-  private static final JsonMapper MAPPER =
-      JsonMapper.builder()
-          .disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION)
-          .disable(JsonReadFeature.ALLOW_TRAILING_COMMA)
-          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-          .build();
-
   private Json() {}
 
   public static ObjectNode object() {
@@ -36,8 +24,8 @@
 
   public static byte[] bytes(JsonNode node) {
     try {
-      return MAPPER.writeValueAsBytes(node);
-    } catch (JsonProcessingException e) {
+      return JsonTree.write(node);
+    } catch (IOException e) {
       throw new IllegalStateException("a tree that cannot be written", e);
     }
   }
@@ -46,11 +34,11 @@
   public static JsonNode parseObject(byte[] body) throws WireException {
     JsonNode node;
     try {
-      node = MAPPER.readTree(body);
+      node = JsonTree.read(body);
     } catch (IOException e) {
       throw new WireException("not JSON");
     }
-    if (node == null || !node.isObject()) {
+    if (!node.isObject()) {
       throw new WireException("not a JSON object");
     }
     return node;
