--- a/src/main/java/io/cherryspool/mesh/NettyMesh.java
+++ b/src/main/java/io/cherryspool/mesh/NettyMesh.java
@@ -61,7 +61,7 @@
     listener =
         new ServerBootstrap()
             .group(loop.group())
-            .channel(NioServerSocketChannel.class)
+            .channelFactory(NioServerSocketChannel::new)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childHandler(
                 new ChannelInitializer<Channel>() {
@@ -87,7 +87,8 @@
   @Override
   public void stop() {
     stopped = true;
-    links.values().forEach(Channel::close);
+    // Closing a channel takes it out of the map.
+    List.copyOf(links.values()).forEach(Channel::close);
     links.clear();
     if (listener != null) {
       listener.close();
@@ -119,7 +120,7 @@
     Channel channel =
         new Bootstrap()
             .group(loop.group())
-            .channel(NioSocketChannel.class)
+            .channelFactory(NioSocketChannel::new)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
             .handler(
--- /dev/null
+++ b/src/test/java/io/cherryspool/mesh/NettyMeshTest.java
@@ -0,0 +1,70 @@
+package io.cherryspool.mesh;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.http.NettyLoop;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class NettyMeshTest {
+  private static final long LIMIT_S = 10;
+  private static final Mesh.Word WORD = new Mesh.Word("node", 1, true, 0, 0, 0);
+
+  /** Closing the links while walking over them failed, so that the listener stayed open. */
+  @Test
+  void stopsWithLinksOpen() throws Exception {
+    NettyLoop loop = new NettyLoop();
+    Endpoint own = freeEndpoint();
+    CountDownLatch received = new CountDownLatch(2);
+    NettyMesh mesh = new NettyMesh(loop, List.of(own), word -> received.countDown());
+    mesh.bind(own);
+    loop.execute(mesh::start);
+    for (int i = 0; i < 200 && received.getCount() > 0; i++) {
+      loop.execute(() -> mesh.tell(WORD));
+      received.await(50, TimeUnit.MILLISECONDS);
+    }
+    assertTrue(received.await(0, TimeUnit.SECONDS), "no link came about");
+    CompletableFuture<Void> stopped = new CompletableFuture<>();
+    loop.execute(
+        () -> {
+          try {
+            mesh.stop();
+            stopped.complete(null);
+          } catch (RuntimeException e) {
+            stopped.completeExceptionally(e);
+          }
+        });
+    stopped.get(LIMIT_S, TimeUnit.SECONDS);
+    assertTrue(refuses(own), "the listener is still open");
+    loop.shutdown();
+    loop.join();
+  }
+
+  private static Endpoint freeEndpoint() throws Exception {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new Endpoint("127.0.0.1", socket.getLocalPort());
+    }
+  }
+
+  /** The listener closes on the loop, shortly after the call. */
+  private static boolean refuses(Endpoint endpoint) throws InterruptedException {
+    for (int i = 0; i < 100; i++) {
+      try (Socket socket = new Socket()) {
+        socket.connect(new InetSocketAddress(endpoint.host(), endpoint.port()), 1000);
+      } catch (IOException e) {
+        return true;
+      }
+      Thread.sleep(50);
+    }
+    return false;
+  }
+}
