Load less in a starting node: metrics on demand, no generated record methods

Causes, by the log of loaded classes: the Prometheus registry with its patterns; a secure random source and its providers, for one name; generated equals and hashCode of records, linked by method handles in each process (38 forms, none in an archive); reflection for each channel; lambdas of the node's own start, which the rehearsal did not run; a jar of 11,541 entries. Ruled out: a static archive, whose heap objects the serial collector of Java 17 can't map; leaving out more of fastutil, after which one of its classes no longer verified.

--- a/src/main/java/io/cherryspool/cli/Commands.java
+++ b/src/main/java/io/cherryspool/cli/Commands.java
@@ -71,8 +71,9 @@
       name = "rehearse",
       hidden = true,
       description = "Loads what a starting node needs; the build makes the class-data archive so.")
-  int rehearse() throws Exception {
-    return Rehearsal.run();
+  void rehearse() throws Exception {
+    Rehearsal.run();
+    System.exit(0);
   }
 
   /** The version in the jar's manifest. */
--- a/src/main/java/io/cherryspool/cli/Rehearsal.java
+++ b/src/main/java/io/cherryspool/cli/Rehearsal.java
@@ -1,41 +1,38 @@
 package io.cherryspool.cli;
 
-import io.cherryspool.config.OperatorSettings;
-import io.cherryspool.config.Settings;
-import io.cherryspool.controller.Controller;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.cherryspool.http.Endpoint;
 import io.cherryspool.http.NettyClient;
 import io.cherryspool.http.NettyLoop;
 import io.cherryspool.http.NettyServer;
 import io.cherryspool.http.Reply;
 import io.cherryspool.http.Request;
-import io.cherryspool.mesh.Mesh;
-import io.cherryspool.mesh.NettyMesh;
 import io.cherryspool.model.Job;
 import io.cherryspool.model.Priority;
 import io.cherryspool.model.Resources;
-import io.cherryspool.model.Team;
 import io.cherryspool.wire.JobWire;
 import io.cherryspool.wire.Json;
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.URISyntaxException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Collections;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
 
 /**
- * Uses a node once among {@link RehearsalServices}, so that the class-data archive made on exit
- * holds what a node loads that starts, takes over and serves, lambdas included: only those that
- * were in use are kept. Starting on a fraction of a core takes seconds otherwise.
+ * Runs a whole node once among {@link RehearsalServices}, from reading its settings to its
+ * shutdown, so that the class-data archive made on exit holds what a node loads that starts, takes
+ * over and serves, lambdas included: only those that were in use are kept. Starting on a fraction
+ * of a core takes seconds otherwise.
  */
 final class Rehearsal {
   private static final Duration LIMIT = Duration.ofSeconds(2);
@@ -45,60 +42,60 @@
   private static final int STEPS = 100;
 
   private static final int STEP_MS = 50;
+  private static final String HOST = "127.0.0.1";
 
-  /** The node's own paths; all others are of what stands around it. */
-  private static final List<String> OWN = List.of("/api", "/v1", "/ready", "/metrics");
-
-  private Rehearsal() {}
-
-  static int run() throws Exception {
-    NettyLoop loop = new NettyLoop();
-    Endpoint any = new Endpoint("127.0.0.1", 0);
-    Controller[] controller = new Controller[1];
-    RehearsalServices[] services = new RehearsalServices[1];
-    NettyServer server =
-        new NettyServer(
-            loop,
-            request ->
-                OWN.stream().anyMatch(request.path()::startsWith)
-                    ? controller[0].handle(request)
-                    : services[0].handle(request),
-            100);
-    server.bind(any);
-    Endpoint self = new Endpoint("127.0.0.1", server.port());
-    services[0] = new RehearsalServices(self);
-    NettyMesh mesh = new NettyMesh(loop, List.of(self), word -> controller[0].heard(word));
-    NettyClient client = new NettyClient(loop, SOCKETS);
-    controller[0] =
-        Server.controller(
-            settings(any, self),
-            OperatorSettings.DEFAULTS,
-            loop,
-            mesh,
-            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
-    loop.execute(controller[0]::start);
-    loop.execute(() -> mesh.tell(new Mesh.Word("rehearsal", 1, true, 0, 0, 0)));
-    play(request -> ask(loop, client, self, request), services[0]);
-    loadOwnClasses();
-    loop.execute(controller[0]::stop);
-    loop.execute(loop::shutdown);
-    loop.join();
-    return 0;
+  private final NettyLoop loop = new NettyLoop();
+  private final NettyClient client = new NettyClient(loop, SOCKETS);
+  private final Endpoint node = new Endpoint(HOST, freePort());
+  private final RehearsalServices services;
+
+  private Rehearsal() throws IOException, InterruptedException {
+    NettyServer server = new NettyServer(loop, this::handle, SOCKETS);
+    server.bind(new Endpoint(HOST, 0));
+    services = new RehearsalServices(new Endpoint(HOST, server.port()));
+  }
+
+  private CompletableFuture<Reply> handle(Request request) {
+    return services.handle(request);
+  }
+
+  /**
+   * Runs the node and uses it. The node goes on until the caller ends the process, as a platform
+   * would, so that its shutdown is rehearsed too.
+   */
+  static void run() throws Exception {
+    Rehearsal rehearsal = new Rehearsal();
+    Path settings = Files.createTempFile("rehearsal", ".json");
+    try {
+      Files.write(settings, Json.bytes(rehearsal.settings()));
+      new Thread(() -> serve(settings), "node").start();
+      rehearsal.play();
+      loadOwnClasses();
+    } finally {
+      Files.delete(settings);
+    }
+  }
+
+  private static void serve(Path settings) {
+    try {
+      Server.serve(settings, Path.of(Server.OPERATORS_FILE));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
-  /** Asks the node something and waits for the answer. */
-  @FunctionalInterface
-  private interface Asker {
-    Reply ask(Request request) throws Exception;
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+      return socket.getLocalPort();
+    }
   }
 
-  private static Reply ask(NettyLoop loop, NettyClient client, Endpoint self, Request request)
-      throws Exception {
+  private Reply ask(Request request) throws Exception {
     CompletableFuture<Reply> answer = new CompletableFuture<>();
     loop.execute(
         () ->
             client
-                .send(self, request, LIMIT)
+                .send(node, request, LIMIT)
                 .whenComplete(
                     (reply, failure) ->
                         answer.complete(reply == null ? Reply.json(0, new byte[0]) : reply)));
@@ -106,24 +103,25 @@
   }
 
   /** A job is submitted, placed, done and asked about; another is cancelled. */
-  private static void play(Asker node, RehearsalServices services) throws Exception {
+  private void play() throws Exception {
     Job first = job("req-000001");
     Job second = job("req-000002");
     boolean submitted = false;
     for (int i = 0; i < STEPS; i++) {
-      Reply told = node.ask(Request.post("/v1/report", Json.bytes(services.report())));
+      Reply told = ask(Request.post("/v1/report", Json.bytes(services.report())));
       if (told.status() == 200) {
         services.told(Json.parseObject(told.body()));
         if (!submitted) {
           submitted = true;
-          node.ask(Request.post("/api/jobs", Json.bytes(JobWire.encode(first))));
+          ask(Request.post("/api/jobs", Json.bytes(JobWire.encode(first))));
         } else if (services.finish()) {
           break;
         }
       }
       Thread.sleep(STEP_MS);
     }
-    node.ask(Request.post("/v1/report", Json.bytes(services.report())));
+    ask(Request.post("/v1/report", Json.bytes(services.report())));
+    awaitDone(first);
     for (Request request :
         List.of(
             Request.get("/ready"),
@@ -133,11 +131,21 @@
             Request.post("/api/jobs/" + second.id() + "/withdraw", new byte[0]),
             Request.get("/api/jobs/" + second.id()),
             Request.get("/api/jobs/" + first.id()))) {
-      node.ask(request);
+      ask(request);
     }
     Thread.sleep(STEP_MS);
   }
 
+  private void awaitDone(Job job) throws Exception {
+    for (int i = 0; i < STEPS; i++) {
+      Reply told = ask(Request.get("/api/jobs/" + job.id()));
+      if (told.status() == 200 && Json.parseObject(told.body()).path("done").intValue() > 0) {
+        return;
+      }
+      Thread.sleep(STEP_MS);
+    }
+  }
+
   private static Job job(String id) {
     return new Job(
         id,
@@ -160,24 +168,39 @@
         Instant.EPOCH);
   }
 
-  private static Settings settings(Endpoint any, Endpoint self) {
-    return new Settings(
-        "rehearsal",
-        RehearsalServices.ZONE,
-        any,
-        any,
-        List.of(),
-        self,
-        self,
-        List.of(new Team("any", 0, 0, 0, 0)),
-        Map.of(),
-        Duration.ofSeconds(2),
-        Duration.ofSeconds(10),
-        Duration.ofSeconds(30),
-        new Settings.StateLimits(100, 100, 8192, 8),
-        10,
-        Duration.ofSeconds(1),
-        100);
+  /** As the platform writes them; the node's own mesh address stands for its peer's as well. */
+  private ObjectNode settings() throws IOException {
+    String mesh = new Endpoint(HOST, freePort()).toString();
+    ObjectNode root = Json.object().put("host_name", "rehearsal");
+    root.put("site", RehearsalServices.ZONE);
+    root.put("client_listen", node.toString());
+    root.put("mesh_addr", mesh);
+    ArrayNode known = root.putArray("known");
+    known
+        .addObject()
+        .put("host_name", "peer")
+        .put("site", RehearsalServices.ZONE)
+        .put("endpoint", mesh);
+    String self = services.endpoint().toString();
+    root.putObject("services").put("cloud", self).put("state", self);
+    ObjectNode facts = root.putObject("facts");
+    facts.putArray("teams").addObject().put("name", "any");
+    facts
+        .putArray("objectives")
+        .addObject()
+        .put("kind", "deadline")
+        .put("class", "any")
+        .put("times", 1.0);
+    facts.putObject("workers").put("report_s", 2.0).put("lease_s", 10.0).put("cancel_s", 30.0);
+    facts
+        .putObject("state")
+        .put("rps", 100.0)
+        .put("write_rps", 100.0)
+        .put("value_kb", 8.0)
+        .put("txn_ops", 8);
+    facts.putObject("cloud").put("rps", 10.0).put("list_lag_s", 1.0);
+    facts.putObject("resources").put("fd_limit", 100);
+    return root;
   }
 
   private static void loadOwnClasses()
--- a/src/main/java/io/cherryspool/cli/RehearsalServices.java
+++ b/src/main/java/io/cherryspool/cli/RehearsalServices.java
@@ -41,6 +41,10 @@
     this.self = self;
   }
 
+  Endpoint endpoint() {
+    return self;
+  }
+
   @Override
   public CompletableFuture<Reply> handle(Request request) {
     String path = request.path();
--- a/src/main/java/io/cherryspool/cli/Server.java
+++ b/src/main/java/io/cherryspool/cli/Server.java
@@ -10,17 +10,15 @@
 import io.cherryspool.mesh.Mesh;
 import io.cherryspool.mesh.NettyMesh;
 import io.micrometer.core.instrument.Gauge;
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -73,11 +71,14 @@
             loop,
             platform.peers().stream().map(Settings.Peer::endpoint).toList(),
             word -> controller[0].heard(word));
-    PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-    controller[0] = controller(platform, settings.operators(), loop, mesh, registry);
+    MetricsExport metrics = new MetricsExport();
+    controller[0] = controller(platform, settings.operators(), loop, mesh, metrics);
     int connections = (int) (platform.fdLimit() * (1 - OWN_SOCKETS));
     NettyServer server = new NettyServer(loop, controller[0], connections);
-    Gauge.builder("cherryspool.connections", server::connections).register(registry);
+    metrics.add(controller[0]);
+    metrics.add(
+        registry ->
+            Gauge.builder("cherryspool.connections", server::connections).register(registry));
     List<Runnable> stops = List.of(controller[0]::stop, mesh::stop, loop::shutdown);
     Runtime.getRuntime()
         .addShutdownHook(new Thread(() -> stops.forEach(loop::execute), "shutdown"));
@@ -114,7 +115,8 @@
       OperatorSettings operators,
       NettyLoop loop,
       Mesh mesh,
-      PrometheusMeterRegistry registry) {
+      MetricsExport metrics) {
+    long[] entropy = SystemEntropy.read(3);
     return new Controller(
         platform,
         operators,
@@ -122,10 +124,9 @@
             loop,
             new NettyClient(loop, (int) (platform.fdLimit() * OWN_SOCKETS * OWN_CALLS)),
             mesh,
-            RandomGenerator.getDefault(),
+            new SplittableRandom(entropy[0]),
             Instant::now,
-            UUID.randomUUID().toString(),
-            registry,
-            registry::scrape));
+            new UUID(entropy[1], entropy[2]).toString(),
+            metrics::scrape));
   }
 }
--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -24,6 +24,7 @@
 import io.cherryspool.worker.WorkerClient;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.binder.MeterBinder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
@@ -40,7 +41,7 @@
  * One controller node: answers requests, takes part in elections, and leads while it is elected. It
  * knows sockets, clocks and chance only through what it is given.
  */
-public final class Controller implements Duty, Handler {
+public final class Controller implements Duty, Handler, MeterBinder {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
   private static final String JOBS = "/api/jobs";
   private static final String CANCEL = "/withdraw";
@@ -55,7 +56,7 @@
   private final Supplier<String> metrics;
   private final Map<String, Team> teams = new HashMap<>();
   private final Peers peers = new Peers();
-  private final Meters meters;
+  private final Meters meters = new Meters();
   private final Strays strays = new Strays();
   private final LeadershipTransfer transfer;
   private final StateClient state;
@@ -65,11 +66,12 @@
   private final CloudClient cloud;
   private final WorkerClient workers;
   private final CatalogKeeper catalog;
+  private final GroupCommit commits;
   private final UserApi users;
   private LeaderTerm leaderTerm;
   private EventLoop.Timer timer;
 
-  /** What the node is given to work with. {@code metrics} writes the registry out. */
+  /** What the node is given to work with. {@code metrics} writes the node's meters out. */
   public record Surroundings(
       EventLoop loop,
       Transport transport,
@@ -77,7 +79,6 @@
       RandomGenerator random,
       Supplier<Instant> wall,
       String instance,
-      MeterRegistry registry,
       Supplier<String> metrics) {}
 
   public Controller(Settings settings, OperatorSettings operators, Surroundings given) {
@@ -87,7 +88,6 @@
     this.mesh = given.mesh();
     this.wall = given.wall();
     this.metrics = given.metrics();
-    this.meters = new Meters(given.registry());
     this.timings = Timings.of(settings, operators);
     settings.teams().forEach(team -> teams.put(team.name(), team));
     Settings.StateLimits limits = settings.stateLimits();
@@ -111,7 +111,7 @@
     cloud = new CloudClient(given.transport(), settings.cloud(), timings.cloudCall());
     workers = new WorkerClient(given.transport(), timings.workerCall());
     catalog = new CatalogKeeper(loop, cloud, replica, state, budget, election::leading);
-    GroupCommit commits =
+    commits =
         new GroupCommit(
             loop, state, budget, limits.txnOps(), 4 * limits.txnOps(), timings.stateCall());
     users =
@@ -124,22 +124,24 @@
             limits.valueBytes(),
             operators.failureCap(),
             this::behind);
-    Gauge.builder("cherryspool.leading", () -> leaderTerm == null ? 0 : 1)
-        .register(given.registry());
-    Gauge.builder("cherryspool.term", replica::term).register(given.registry());
-    Gauge.builder("cherryspool.jobs.active", () -> replica.active().size())
-        .register(given.registry());
-    Gauge.builder("cherryspool.jobs.accepted", replica::jobCount).register(given.registry());
+  }
+
+  @Override
+  public void bindTo(MeterRegistry registry) {
+    meters.bindTo(registry);
+    Gauge.builder("cherryspool.leading", () -> leaderTerm == null ? 0 : 1).register(registry);
+    Gauge.builder("cherryspool.term", replica::term).register(registry);
+    Gauge.builder("cherryspool.jobs.active", () -> replica.active().size()).register(registry);
+    Gauge.builder("cherryspool.jobs.accepted", replica::jobCount).register(registry);
     Gauge.builder(
             "cherryspool.machines", () -> leaderTerm == null ? 0 : leaderTerm.fleet().all().size())
-        .register(given.registry());
+        .register(registry);
     Gauge.builder(
             "cherryspool.machines.lost", () -> leaderTerm == null ? 0 : leaderTerm.reach().lost())
-        .register(given.registry());
-    Gauge.builder("cherryspool.workers.stray", () -> strays.count(loop.now()))
-        .register(given.registry());
-    Gauge.builder("cherryspool.changes.waiting", commits::waiting).register(given.registry());
-    Gauge.builder("cherryspool.changes.left", budget::left).register(given.registry());
+        .register(registry);
+    Gauge.builder("cherryspool.workers.stray", () -> strays.count(loop.now())).register(registry);
+    Gauge.builder("cherryspool.changes.waiting", commits::waiting).register(registry);
+    Gauge.builder("cherryspool.changes.left", budget::left).register(registry);
   }
 
   @Override
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/EventCount.java
@@ -0,0 +1,25 @@
+package io.cherryspool.controller;
+
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.MeterRegistry;
+
+/**
+ * Counts events on the event loop. The number is kept here and not by a registry, so that a
+ * registry that is made when metrics are first asked for shows all events since the start.
+ */
+final class EventCount {
+  private long total;
+
+  void increment() {
+    add(1);
+  }
+
+  void add(long events) {
+    total += events;
+  }
+
+  /** Makes the registry read the count under this name. */
+  void bindTo(MeterRegistry registry, String name) {
+    FunctionCounter.builder(name, this, count -> count.total).register(registry);
+  }
+}
--- a/src/main/java/io/cherryspool/controller/Meters.java
+++ b/src/main/java/io/cherryspool/controller/Meters.java
@@ -1,34 +1,35 @@
 package io.cherryspool.controller;
 
-import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.binder.MeterBinder;
 
 /** What a node counts while it runs, whoever leads; one counter for each guard of the rules. */
-final class Meters {
+final class Meters implements MeterBinder {
   /** Rounds that changed records. */
-  final Counter rounds;
+  final EventCount rounds = new EventCount();
 
   /** Tasks taken back since their machine's lease ran out, or it is gone. */
-  final Counter lapses;
+  final EventCount lapses = new EventCount();
 
   /** Tasks that failed by themselves. */
-  final Counter failures;
+  final EventCount failures = new EventCount();
 
   /** Tasks stopped for other work. */
-  final Counter stops;
+  final EventCount stops = new EventCount();
 
   /** Reports that were not this node's to answer. */
-  final Counter redirected;
+  final EventCount redirected = new EventCount();
 
   /** Users' requests that could not be served now. */
-  final Counter refused;
-
-  Meters(MeterRegistry registry) {
-    rounds = registry.counter("cherryspool.rounds");
-    lapses = registry.counter("cherryspool.lapses");
-    failures = registry.counter("cherryspool.failures");
-    stops = registry.counter("cherryspool.stops");
-    redirected = registry.counter("cherryspool.reports.redirected");
-    refused = registry.counter("cherryspool.requests.refused");
+  final EventCount refused = new EventCount();
+
+  @Override
+  public void bindTo(MeterRegistry registry) {
+    rounds.bindTo(registry, "cherryspool.rounds");
+    lapses.bindTo(registry, "cherryspool.lapses");
+    failures.bindTo(registry, "cherryspool.failures");
+    stops.bindTo(registry, "cherryspool.stops");
+    redirected.bindTo(registry, "cherryspool.reports.redirected");
+    refused.bindTo(registry, "cherryspool.requests.refused");
   }
 }
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -350,7 +350,7 @@
                 last.unplaced().stream().map(RoundPlan.Unplaced::job).toList(),
                 limits.deadlineTimes()));
     last = plan;
-    meters.stops.increment(plan.stops().size());
+    meters.stops.add(plan.stops().size());
     for (RoundPlan.Assignment item : plan.assignments()) {
       JobEntry entry = replica.job(item.job());
       MachineState machine = fleet.get(item.machine());
--- a/src/main/java/io/cherryspool/http/Endpoint.java
+++ b/src/main/java/io/cherryspool/http/Endpoint.java
@@ -21,6 +21,17 @@
     return new Endpoint(text.substring(0, colon), port);
   }
 
+  // Generated record methods are linked at run time; see "Start-up" in docs/design.md.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof Endpoint other && port == other.port && host.equals(other.host);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * host.hashCode() + port;
+  }
+
   @Override
   public String toString() {
     return host + ":" + port;
--- a/src/main/java/io/cherryspool/http/NettyClient.java
+++ b/src/main/java/io/cherryspool/http/NettyClient.java
@@ -92,7 +92,7 @@
       connecting =
           new Bootstrap()
               .group(loop.group())
-              .channel(NioSocketChannel.class)
+              .channelFactory(NioSocketChannel::new)
               .option(ChannelOption.TCP_NODELAY, true)
               .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, limit.toMillis()))
               .handler(
--- a/src/main/java/io/cherryspool/http/NettyServer.java
+++ b/src/main/java/io/cherryspool/http/NettyServer.java
@@ -73,7 +73,7 @@
     listener =
         new ServerBootstrap()
             .group(loop.group())
-            .channel(NioServerSocketChannel.class)
+            .channelFactory(NioServerSocketChannel::new)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
--- a/src/main/java/io/cherryspool/model/Order.java
+++ b/src/main/java/io/cherryspool/model/Order.java
@@ -23,4 +23,19 @@
   public static Order forget(TaskId task, int attempt) {
     return new Order(Verb.FORGET, task, attempt, Duration.ZERO);
   }
+
+  // Generated record methods are linked at run time; see "Start-up" in docs/design.md.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof Order other
+        && verb == other.verb
+        && attempt == other.attempt
+        && task.equals(other.task)
+        && grace.equals(other.grace);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * (31 * verb.ordinal() + attempt) + task.hashCode();
+  }
 }
--- a/src/main/java/io/cherryspool/model/Report.java
+++ b/src/main/java/io/cherryspool/model/Report.java
@@ -35,7 +35,23 @@
   }
 
   /** One task on the machine; {@code cause} is null until it has exited. */
-  public record TaskReport(TaskId task, int attempt, State state, Cause cause) {}
+  public record TaskReport(TaskId task, int attempt, State state, Cause cause) {
+
+    // Generated record methods are linked at run time; see "Start-up" in docs/design.md.
+    @Override
+    public boolean equals(Object object) {
+      return object instanceof TaskReport other
+          && attempt == other.attempt
+          && state == other.state
+          && cause == other.cause
+          && task.equals(other.task);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * task.hashCode() + attempt;
+    }
+  }
 
   public boolean newerThan(Report other) {
     return session > other.session || session == other.session && sequence > other.sequence;
--- a/src/main/java/io/cherryspool/model/Resources.java
+++ b/src/main/java/io/cherryspool/model/Resources.java
@@ -7,6 +7,20 @@
   /** Decimal amounts are summed in floating point; this much is rounding, not demand. */
   private static final double EPSILON = 1e-6;
 
+  // Generated record methods are linked at run time; see "Start-up" in docs/design.md.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof Resources other
+        && Double.compare(cpus, other.cpus) == 0
+        && Double.compare(gpus, other.gpus) == 0
+        && Double.compare(memoryGb, other.memoryGb) == 0;
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * (31 * Double.hashCode(cpus) + Double.hashCode(gpus)) + Double.hashCode(memoryGb);
+  }
+
   public Resources plus(Resources other) {
     return new Resources(cpus + other.cpus, gpus + other.gpus, memoryGb + other.memoryGb);
   }
--- a/src/main/java/io/cherryspool/model/TaskId.java
+++ b/src/main/java/io/cherryspool/model/TaskId.java
@@ -17,6 +17,17 @@
     }
   }
 
+  // Generated record methods are linked at run time; see "Start-up" in docs/design.md.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof TaskId other && number == other.number && job.equals(other.job);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * job.hashCode() + number;
+  }
+
   @Override
   public int compareTo(TaskId other) {
     int jobs = job.compareTo(other.job);
--- a/src/main/java/io/cherryspool/scheduler/FleetPlan.java
+++ b/src/main/java/io/cherryspool/scheduler/FleetPlan.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 
 /**
@@ -41,6 +42,20 @@
     double perCpu() {
       return type.price(spot) / Math.max(1, type.size().cpus());
     }
+
+    // Generated record methods are linked at run time; see "Start-up" in docs/design.md.
+    @Override
+    public boolean equals(Object object) {
+      return object instanceof Offer other
+          && spot == other.spot
+          && zone.equals(other.zone)
+          && type.equals(other.type);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * (31 * type.hashCode() + zone.hashCode()) + Boolean.hashCode(spot);
+    }
   }
 
   /** A machine in use; {@code idleFor} is null while it owns tasks. */
@@ -107,6 +122,20 @@
           && (other.zone == null || other.zone.equals(zone))
           && (other.spot || !spot);
     }
+
+    // Generated record methods are linked at run time; see "Start-up" in docs/design.md.
+    @Override
+    public boolean equals(Object object) {
+      return object instanceof Places other
+          && types == other.types
+          && spot == other.spot
+          && Objects.equals(zone, other.zone);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * (31 * Long.hashCode(types) + Objects.hashCode(zone)) + Boolean.hashCode(spot);
+    }
   }
 
   private Places places(Job job) {
--- a/src/main/java/io/cherryspool/scheduler/Placement.java
+++ b/src/main/java/io/cherryspool/scheduler/Placement.java
@@ -110,6 +110,22 @@
     static Demand of(Job job) {
       return new Demand(job.perTask(), job.types(), job.zone(), job.spotAllowed(), job.image());
     }
+
+    // Generated record methods are linked at run time; see "Start-up" in docs/design.md.
+    @Override
+    public boolean equals(Object object) {
+      return object instanceof Demand other
+          && spot == other.spot
+          && image.equals(other.image)
+          && each.equals(other.each)
+          && Objects.equals(types, other.types)
+          && Objects.equals(zone, other.zone);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * (31 * image.hashCode() + each.hashCode()) + Objects.hashCode(zone);
+    }
   }
 
   private void place(QueueOrder.Entry entry) {
--- a/src/main/java/io/cherryspool/scheduler/QueueOrder.java
+++ b/src/main/java/io/cherryspool/scheduler/QueueOrder.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 
 /**
@@ -116,7 +117,23 @@
   /**
    * Jobs that differ in none of these wait for the same, so that one of them at a time is enough.
    */
-  private record Line(String team, String jobClass, List<String> types, String zone) {}
+  private record Line(String team, String jobClass, List<String> types, String zone) {
+
+    // Generated record methods are linked at run time; see "Start-up" in docs/design.md.
+    @Override
+    public boolean equals(Object object) {
+      return object instanceof Line other
+          && team.equals(other.team)
+          && jobClass.equals(other.jobClass)
+          && Objects.equals(types, other.types)
+          && Objects.equals(zone, other.zone);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * (31 * team.hashCode() + jobClass.hashCode()) + Objects.hashCode(zone);
+    }
+  }
 
   /**
    * The jobs of which one task goes before everything else: of each line the oldest that has not
--- /dev/null
+++ b/src/test/java/io/cherryspool/cli/MetricsExportTest.java
@@ -0,0 +1,22 @@
+package io.cherryspool.cli;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micrometer.core.instrument.FunctionCounter;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+class MetricsExportTest {
+  @Test
+  void showsWhatHappenedBeforeTheMetricsWereFirstAskedFor() {
+    AtomicLong events = new AtomicLong();
+    MetricsExport metrics = new MetricsExport();
+    metrics.add(
+        registry ->
+            FunctionCounter.builder("events", events, AtomicLong::doubleValue).register(registry));
+    events.set(3);
+    assertTrue(metrics.scrape().contains("\nevents_total 3.0\n"), metrics.scrape());
+    events.set(5);
+    assertTrue(metrics.scrape().contains("\nevents_total 5.0\n"), metrics.scrape());
+  }
+}
--- /dev/null
+++ b/src/test/java/io/cherryspool/model/RecordEqualityTest.java
@@ -0,0 +1,96 @@
+package io.cherryspool.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.scheduler.FleetPlan;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Records whose equality is written out compare every component, also one that is added later. */
+class RecordEqualityTest {
+  private static final TaskId TASK = new TaskId("req-000001", 3);
+  private static final Resources SIZE = new Resources(4, 0, 8);
+  private static final Duration BOOT = Duration.ofSeconds(50);
+  private static final List<String> ZONES = List.of("a", "b");
+
+  private static MachineType type(String name) {
+    return new MachineType(name, SIZE, 30, 0.8, 0.27, 0.1, BOOT, ZONES);
+  }
+
+  private static Arguments record(Supplier<Record> original, Record... variants) {
+    return Arguments.of(original, List.of(variants));
+  }
+
+  private static Stream<Arguments> records() {
+    return Stream.of(
+        record(
+            () -> new Endpoint("10.0.0.1", 80),
+            new Endpoint("10.0.0.2", 80),
+            new Endpoint("10.0.0.1", 81)),
+        record(
+            () -> new TaskId("req-000001", 3),
+            new TaskId("req-000002", 3),
+            new TaskId("req-000001", 4)),
+        record(
+            () -> Order.stop(TASK, 2, BOOT),
+            new Order(Order.Verb.START, TASK, 2, BOOT),
+            Order.stop(new TaskId("req-000001", 4), 2, BOOT),
+            Order.stop(TASK, 3, BOOT),
+            Order.stop(TASK, 2, Duration.ZERO)),
+        record(
+            () -> new Attempt(1, "m", 2, 3, 4),
+            new Attempt(9, "m", 2, 3, 4),
+            new Attempt(1, "n", 2, 3, 4),
+            new Attempt(1, "m", 9, 3, 4),
+            new Attempt(1, "m", 2, 9, 4),
+            new Attempt(1, "m", 2, 3, 9)),
+        record(
+            () -> new Report.TaskReport(TASK, 1, Report.State.EXITED, Report.Cause.DONE),
+            new Report.TaskReport(
+                new TaskId("req-000001", 4), 1, Report.State.EXITED, Report.Cause.DONE),
+            new Report.TaskReport(TASK, 2, Report.State.EXITED, Report.Cause.DONE),
+            new Report.TaskReport(TASK, 1, Report.State.RUNNING, Report.Cause.DONE),
+            new Report.TaskReport(TASK, 1, Report.State.EXITED, null)),
+        record(
+            () -> new Resources(4, 0, 8),
+            new Resources(5, 0, 8),
+            new Resources(4, 1, 8),
+            new Resources(4, 0, 9)),
+        record(
+            () -> type("box"),
+            type("crate"),
+            new MachineType("box", Resources.NONE, 30, 0.8, 0.27, 0.1, BOOT, ZONES),
+            new MachineType("box", SIZE, 31, 0.8, 0.27, 0.1, BOOT, ZONES),
+            new MachineType("box", SIZE, 30, 0.9, 0.27, 0.1, BOOT, ZONES),
+            new MachineType("box", SIZE, 30, 0.8, 0.28, 0.1, BOOT, ZONES),
+            new MachineType("box", SIZE, 30, 0.8, 0.27, 0.2, BOOT, ZONES),
+            new MachineType("box", SIZE, 30, 0.8, 0.27, 0.1, Duration.ZERO, ZONES),
+            new MachineType("box", SIZE, 30, 0.8, 0.27, 0.1, BOOT, List.of("a"))),
+        record(
+            () -> new FleetPlan.Offer(type("box"), "a", true),
+            new FleetPlan.Offer(type("crate"), "a", true),
+            new FleetPlan.Offer(type("box"), "b", true),
+            new FleetPlan.Offer(type("box"), "a", false)));
+  }
+
+  @ParameterizedTest
+  @MethodSource("records")
+  void comparesEveryComponent(Supplier<Record> original, List<Record> variants) {
+    Record first = original.get();
+    assertEquals(first, original.get());
+    assertEquals(first.hashCode(), original.get().hashCode());
+    assertNotEquals(first, null);
+    assertEquals(first.getClass().getRecordComponents().length, variants.size());
+    for (Record variant : variants) {
+      assertNotEquals(first, variant);
+      assertNotEquals(variant, first);
+    }
+  }
+}
--- a/src/test/java/io/cherryspool/sim/ControllerNode.java
+++ b/src/test/java/io/cherryspool/sim/ControllerNode.java
@@ -4,7 +4,6 @@
 import io.cherryspool.controller.Controller;
 import io.cherryspool.http.Endpoint;
 import io.cherryspool.mesh.Mesh;
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.SplittableRandom;
@@ -45,7 +44,6 @@
                 new SplittableRandom(random.nextLong()),
                 () -> Instant.EPOCH.plus(cluster.time().now()),
                 name() + "-life-" + life,
-                new SimpleMeterRegistry(),
                 () -> ""));
     cluster.net().listen(address, controller, own);
     controller.start();
