Take a report for news by what it says, not by a newer token alone

Cause: every round gives out a newer token, and each machine's next report shows it. That was taken for news, so that after each round every machine was looked at, its view made anew and another round asked for, which planned anew while any work waited. What a token proves is asked for instead: the machine may be given work, its commands are settled, or a round waits for a proof of it. The metric cherryspool_rounds_planned_total shows the count. Ruled out as needing the token: start and stop commands, which stay due until a message shows them done; forgetting, which only answers to reports tell.

--- a/src/main/java/io/cherryspool/controller/Fleet.java
+++ b/src/main/java/io/cherryspool/controller/Fleet.java
@@ -80,7 +80,8 @@
     }
     MachineState machine =
         add(report.machine(), report.address(), report.type(), report.zone(), report.spot(), now);
-    if (machine.accept(report, now)) {
+    Report before = machine.latest;
+    if (machine.accept(report, now) && report.differsFrom(before)) {
       observe(machine, report, now);
     }
     return machine;
--- a/src/main/java/io/cherryspool/controller/LeaderTerm.java
+++ b/src/main/java/io/cherryspool/controller/LeaderTerm.java
@@ -245,11 +245,16 @@
     ingest(report);
     MachineState machine = fleet.get(report.machine());
     long token = tokens.current();
-    if (machine == null
-        || machine.gone
-        || machine.latest == null
-        || !machine.answer(report, token, loop.now())
-        || report.session() != machine.latest.session()) {
+    if (machine == null || machine.gone || machine.latest == null) {
+      return WorkerWire.reply(token, List.of());
+    }
+    MachineStanding standing = rounds.standing(machine);
+    boolean waits = machine.answer(report, token, loop.now());
+    if (standing.improvedTo(rounds.standing(machine))) {
+      // Its lease is renewed, so that it may be given work again.
+      rounds.request();
+    }
+    if (!waits || report.session() != machine.latest.session()) {
       return WorkerWire.reply(token, List.of());
     }
     List<Order> list = orders.of(machine, ownership.on(machine.name));
@@ -284,23 +289,21 @@
     }
     MachineState known = fleet.get(report.machine());
     Report before = known == null ? null : known.latest;
+    MachineStanding standing = rounds.standing(known);
     MachineState machine = fleet.accept(report, loop.now());
-    if (machine == null) {
+    if (machine == null || machine.latest != report) {
       return;
     }
-    boolean news =
-        before == null
-            || !before.tasks().equals(report.tasks())
-            || before.session() != report.session()
-            || before.token() != report.token()
-            || (before.notice() == null) != (report.notice() == null);
-    if (news && machine.latest == report) {
+    // A newer token alone is no news: each round would touch every machine and ask for the next.
+    if (report.differsFrom(before)
+        || standing.improvedTo(rounds.standing(machine))
+        || rounds.awaits(machine.name)) {
       touched(machine.name);
       rounds.request();
-      if (report.notice() != null && (before == null || before.notice() == null)) {
-        LOG.info("machine {} will be taken in {} s", machine.name, report.notice().toSeconds());
-        drain(machine);
-      }
+    }
+    if (report.notice() != null && (before == null || before.notice() == null)) {
+      LOG.info("machine {} will be taken in {} s", machine.name, report.notice().toSeconds());
+      drain(machine);
     }
   }
 
--- a/src/main/java/io/cherryspool/controller/MachineState.java
+++ b/src/main/java/io/cherryspool/controller/MachineState.java
@@ -108,7 +108,6 @@
     latest = report;
     heard = now;
     mute = false;
-    view = null;
     if (report.token() >= toldToken) {
       unheeded = 0;
       deafSince = null;
@@ -133,7 +132,6 @@
     }
     if (report.token() < toldToken) {
       unheeded++;
-      view = null;
       deafSince = deafSince == null ? now : deafSince;
     }
     answeredSession = report.session();
--- a/src/main/java/io/cherryspool/controller/Meters.java
+++ b/src/main/java/io/cherryspool/controller/Meters.java
@@ -8,6 +8,9 @@
   /** Rounds that changed records. */
   final EventCount rounds = new EventCount();
 
+  /** Rounds for which a placement was computed, whatever came of it. */
+  final EventCount planned = new EventCount();
+
   /** Tasks taken back since their machine's lease ran out, or it is gone. */
   final EventCount lapses = new EventCount();
 
@@ -26,6 +29,7 @@
   @Override
   public void bindTo(MeterRegistry registry) {
     rounds.bindTo(registry, "cherryspool.rounds");
+    planned.bindTo(registry, "cherryspool.rounds.planned");
     lapses.bindTo(registry, "cherryspool.lapses");
     failures.bindTo(registry, "cherryspool.failures");
     stops.bindTo(registry, "cherryspool.stops");
--- a/src/main/java/io/cherryspool/controller/RoundView.java
+++ b/src/main/java/io/cherryspool/controller/RoundView.java
@@ -173,7 +173,7 @@
    * lease, so that one which answers them while its reports go astray is about to lose what it
    * runs.
    */
-  private boolean usable(MachineState machine, Duration now) {
+  boolean usable(MachineState machine, Duration now) {
     return machine.latest != null
         && !machine.gone
         && !machine.deleting
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -163,6 +163,20 @@
     }
   }
 
+  /**
+   * Whether the next round looks at the machine's tasks anyway, as it does until they are proved.
+   */
+  boolean awaits(String name) {
+    return dirty.contains(name);
+  }
+
+  /** What rounds may do with the machine now; null is a machine that is not known. */
+  MachineStanding standing(MachineState machine) {
+    return machine == null
+        ? MachineStanding.UNKNOWN
+        : new MachineStanding(view.usable(machine, loop.now()), machine.settled());
+  }
+
   void jobTouched(JobEntry entry) {
     view.jobTouched(entry);
     if (entry.outcome() != null) {
@@ -335,6 +349,7 @@
       last = RoundPlan.NOTHING;
       return;
     }
+    meters.planned.increment();
     RoundPlan plan =
         Placement.plan(
             new ClusterView(
--- a/src/main/java/io/cherryspool/model/Report.java
+++ b/src/main/java/io/cherryspool/model/Report.java
@@ -56,4 +56,17 @@
   public boolean newerThan(Report other) {
     return session > other.session || session == other.session && sequence > other.sequence;
   }
+
+  /**
+   * Whether this says anything else than the one before, beside its sequence and token. Most
+   * reports of a thousand machines do not.
+   *
+   * @param before the report before this one, null if there was none
+   */
+  public boolean differsFrom(Report before) {
+    return before == null
+        || session != before.session
+        || (notice == null) != (before.notice == null)
+        || !tasks.equals(before.tasks);
+  }
 }
--- a/src/test/java/io/cherryspool/sim/ControllerNode.java
+++ b/src/test/java/io/cherryspool/sim/ControllerNode.java
@@ -4,6 +4,7 @@
 import io.cherryspool.controller.Controller;
 import io.cherryspool.http.Endpoint;
 import io.cherryspool.mesh.Mesh;
+import io.micrometer.core.instrument.MeterRegistry;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.SplittableRandom;
@@ -49,6 +50,11 @@
     controller.start();
   }
 
+  /** Adds the node's meters to the registry. */
+  void bindTo(MeterRegistry registry) {
+    controller.bindTo(registry);
+  }
+
   private void tell(Gate own, Mesh.Word word) {
     if (own.closed() || alone || cluster.meshRefused()) {
       return;
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/UnchangedReportTest.java
@@ -0,0 +1,49 @@
+package io.cherryspool.sim;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cherryspool.model.Job;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Each round gives out a newer token, which every machine shows in its next report. That was taken
+ * for news: one small job made the leader plan for all machines again and again while work waited.
+ */
+class UnchangedReportTest extends MeetingFixture {
+  private static final int SMALL_JOBS = 12;
+  private static final double APART_S = 8;
+
+  /**
+   * Submitted, placed, seen running, done, written and a fleet that follows: nine at the most seen.
+   */
+  private static final int PLANS_PER_JOB = 4;
+
+  @Test
+  void aNewerTokenAloneIsNoReasonToPlan() {
+    settle(1, 3);
+    Job waiting = submit("red", 80, 1, Duration.ofSeconds(300));
+    awaitRunning(waiting, 60);
+    cluster.run(60);
+    double before = planned();
+    List<Job> small = new ArrayList<>();
+    for (int i = 0; i < SMALL_JOBS; i++) {
+      small.add(submit("blue", 1, 1, Duration.ofSeconds(2)));
+      cluster.run(APART_S);
+    }
+    allEnd(small);
+    assertTrue(cluster.runningTasks(waiting) < 80, "some of the large job still waits");
+    double each = (planned() - before) / SMALL_JOBS;
+    // A round each second takes in what time alone changes.
+    assertTrue(each <= PLANS_PER_JOB + APART_S, each + " plans for each small job");
+  }
+
+  private double planned() {
+    SimpleMeterRegistry registry = new SimpleMeterRegistry();
+    cluster.leader().bindTo(registry);
+    return registry.get("cherryspool.rounds.planned").functionCounter().count();
+  }
+}
