Drop requests whose senders have closed; one log line for a round's lapses

PeerCheck holds what was received until the connection is read to its end. Of a peer that closes only its sending side the connection was closed before as well, right after the answer.

--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -276,6 +276,8 @@
   private void takeIn() {
     Duration now = loop.now();
     boolean fence = false;
+    int lapsed = 0;
+    Set<String> lapsedOn = new LinkedHashSet<>();
     List<String> machines = List.copyOf(dirty);
     dirty.clear();
     for (String name : machines) {
@@ -294,9 +296,17 @@
           dirty.add(name);
         } else if (verdict != Judge.Verdict.OWNED) {
           take(owned, machine, verdict, now);
+          if (verdict == Judge.Verdict.LAPSED) {
+            lapsed++;
+            lapsedOn.add(name);
+          }
         }
       }
     }
+    if (lapsed > 0) {
+      // One line for all: thousands may lapse in a round, when the processor is short anyway.
+      LOG.info("{} tasks lapsed with machines {}", lapsed, lapsedOn);
+    }
     if (fence) {
       tokens.next();
     }
@@ -328,7 +338,7 @@
     } else if (verdict == Judge.Verdict.FAILED) {
       meters.failures.increment();
     }
-    if (verdict != Judge.Verdict.ENDED) {
+    if (verdict == Judge.Verdict.FAILED || verdict == Judge.Verdict.REFUSED) {
       LOG.info(
           "task {} try {} on {}: {}", owned.id(), attempt.number(), attempt.machine(), verdict);
     }
--- a/src/main/java/io/cherryspool/http/NettyServer.java
+++ b/src/main/java/io/cherryspool/http/NettyServer.java
@@ -3,11 +3,13 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -39,6 +41,10 @@
 public final class NettyServer {
   private static final Logger LOG = LoggerFactory.getLogger(NettyServer.class);
   private static final int MAX_BODY = 64 * 1024;
+
+  /** Reads of one connection at a time, as Netty's own bound is. */
+  private static final int MAX_READS = 16;
+
   private static final Duration QUIET = Duration.ofSeconds(60);
 
   /** Who connects has something to say; one that has not said it by then never will. */
@@ -77,12 +83,14 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, readToTheEnd())
             .childHandler(
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
                     channel
                         .pipeline()
+                        .addLast(new PeerCheck())
                         .addLast(new HttpServerCodec(4096, 8192, 8192))
                         .addLast(new HttpObjectAggregator(MAX_BODY))
                         .addLast(new Connection());
@@ -93,6 +101,15 @@
             .channel();
   }
 
+  /**
+   * A read goes on until nothing is left, so that a connection's end is seen with its last bytes.
+   */
+  private static RecvByteBufAllocator readToTheEnd() {
+    return new AdaptiveRecvByteBufAllocator()
+        .respectMaybeMoreData(false)
+        .maxMessagesPerRead(MAX_READS);
+  }
+
   /** The port bound, for a listener that asked for any. */
   public int port() {
     return ((InetSocketAddress) listener.localAddress()).getPort();
--- a/src/test/java/io/cherryspool/http/LoopbackTest.java
+++ b/src/test/java/io/cherryspool/http/LoopbackTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -21,6 +22,7 @@
   private final CompletableFuture<Reply> never = new CompletableFuture<>();
   private NettyServer server;
   private Endpoint address;
+  private volatile int counted;
 
   @BeforeEach
   void bind() throws InterruptedException {
@@ -38,6 +40,10 @@
   private CompletableFuture<Reply> handle(Request request) {
     return switch (request.path()) {
       case "/never" -> never;
+      case "/count" -> {
+        counted++;
+        yield CompletableFuture.completedFuture(Reply.json(200, new byte[0]));
+      }
       case "/broken" -> throw new IllegalStateException("a defect");
       default ->
           CompletableFuture.completedFuture(
@@ -147,6 +153,44 @@
     }
   }
 
+  /**
+   * A node that was behind answered requests whose senders had given up, so that the others were
+   * answered too late as well.
+   */
+  @Test
+  void aRequestWhoseSenderHasClosedMeanwhileIsNotWorkedOn() throws Exception {
+    CountDownLatch busy = new CountDownLatch(1);
+    CountDownLatch begun = new CountDownLatch(1);
+    try (Socket waiting = new Socket(address.host(), address.port())) {
+      waiting.setSoTimeout(20_000);
+      assertTrue(ask(waiting).startsWith("HTTP/1.1 200"));
+      Socket leaving = new Socket(address.host(), address.port());
+      assertTrue(ask(leaving).startsWith("HTTP/1.1 200"));
+      loop.execute(
+          () -> {
+            begun.countDown();
+            awaitQuietly(busy);
+          });
+      assertTrue(begun.await(20, TimeUnit.SECONDS));
+      byte[] count = "GET /count HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.UTF_8);
+      leaving.getOutputStream().write(count);
+      leaving.close();
+      waiting.getOutputStream().write(count);
+      busy.countDown();
+      assertTrue(waiting.getInputStream().read(new byte[2000]) > 0);
+    }
+    assertEquals(200, send(Request.get("/echo"), Duration.ofSeconds(20)).status());
+    assertEquals(1, counted);
+  }
+
+  private static void awaitQuietly(CountDownLatch latch) {
+    try {
+      latch.await(20, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static String ask(Socket socket) throws IOException {
     return ask(socket, "GET /echo HTTP/1.1\r\nHost: x\r\n\r\n");
   }
