Look for filled machines only after filling one; hash jobs by their id

Every job that was placed walked all machines to leave out full ones, and counting what runs in places that others need hashed all 18 components of a job for each running task.

--- a/src/main/java/io/cherryspool/model/Job.java
+++ b/src/main/java/io/cherryspool/model/Job.java
@@ -41,4 +41,10 @@
   public int zoneShare() {
     return spread ? (tasks + 1) / 2 : tasks;
   }
+
+  /** Equal jobs have equal ids; the other components need not be looked at to find one in a map. */
+  @Override
+  public int hashCode() {
+    return id.hashCode();
+  }
 }
--- a/src/main/java/io/cherryspool/model/MachineType.java
+++ b/src/main/java/io/cherryspool/model/MachineType.java
@@ -22,15 +22,16 @@
   // Generated record methods are linked at run time; see "Start-up" in docs/design.md.
   @Override
   public boolean equals(Object object) {
-    return object instanceof MachineType other
-        && name.equals(other.name)
-        && size.equals(other.size)
-        && Double.compare(cacheGb, other.cacheGb) == 0
-        && Double.compare(fetchGbPerS, other.fetchGbPerS) == 0
-        && Double.compare(price, other.price) == 0
-        && Double.compare(spotPrice, other.spotPrice) == 0
-        && boot.equals(other.boot)
-        && zones.equals(other.zones);
+    return this == object
+        || object instanceof MachineType other
+            && name.equals(other.name)
+            && size.equals(other.size)
+            && Double.compare(cacheGb, other.cacheGb) == 0
+            && Double.compare(fetchGbPerS, other.fetchGbPerS) == 0
+            && Double.compare(price, other.price) == 0
+            && Double.compare(spotPrice, other.spotPrice) == 0
+            && boot.equals(other.boot)
+            && zones.equals(other.zones);
   }
 
   @Override
--- a/src/main/java/io/cherryspool/scheduler/Placement.java
+++ b/src/main/java/io/cherryspool/scheduler/Placement.java
@@ -89,6 +89,10 @@
       this.free = machine.free();
     }
 
+    boolean full() {
+      return free.cpus() <= NO_CPUS;
+    }
+
     boolean hasImage(String image) {
       return machine.images().contains(image) || added.contains(image);
     }
@@ -174,6 +178,7 @@
             ? ranked.computeIfAbsent(Demand.of(job), key -> candidates(job, null))
             : candidates(job, only);
     boolean shunned = false;
+    boolean filled = false;
     int placed = 0;
     for (Iterator<Bin> all = candidates.iterator(); all.hasNext() && placed < tasks.size(); ) {
       Bin bin = all.next();
@@ -199,6 +204,7 @@
       if (count > 0) {
         bin.free = bin.free.minus(job.perTask().times(count));
         bin.added.add(job.image());
+        filled |= bin.full();
         if (perZone != null) {
           perZone.merge(bin.machine.zone(), count, Integer::sum);
         }
@@ -207,7 +213,9 @@
     if (anywhere && !shunned && placed < tasks.size()) {
       failures.add(new Failure(job.perTask(), job.types(), job.zone(), job.spotAllowed()));
     }
-    bins.removeIf(bin -> bin.free.cpus() <= NO_CPUS);
+    if (filled) {
+      bins.removeIf(Bin::full);
+    }
     return placed;
   }
 
