--- /dev/null
+++ b/src/main/java/io/cherryspool/cloud/package-info.java
@@ -0,0 +1,10 @@
+/**
+ * The client of the cloud that rents machines: the catalog, the list of machines, rentals and
+ * deletions.
+ *
+ * <p>May depend on {@code http}, {@code wire} and {@code model}.
+ *
+ * <p>Threading: called on the event loop, where its futures complete. One that fails leaves open
+ * whether the cloud carried the request out.
+ */
+package io.cherryspool.cloud;
