Check the order of the packages' dependencies by a test

ArchUnit; docs/design.md gives the order, which stood nowhere yet. Two kinds of edges run against it and are listed class by class with their reasons: Controller and Timings read config's records, and CloudWire and StateWire make an http.Request. A listed edge that nobody uses fails too.

--- /dev/null
+++ b/src/test/java/io/cherryspool/PackageDependenciesTest.java
@@ -0,0 +1,95 @@
+package io.cherryspool;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.library.Architectures.LayeredArchitecture;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** That packages depend on one another only in the order that docs/design.md gives. */
+class PackageDependenciesTest {
+  private static final String ROOT = "io.cherryspool";
+
+  /** From the top: each rank may use all ranks below it, and its members not one another. */
+  private static final List<List<String>> ORDER =
+      List.of(
+          List.of("cli"),
+          List.of("config"),
+          List.of("controller"),
+          List.of("scheduler", "store", "cloud", "worker", "mesh"),
+          List.of("http"),
+          List.of("wire"),
+          List.of("model"),
+          List.of("duty"));
+
+  /** The single dependencies against the order; each reason is in docs/design.md. */
+  private static final List<AllowedEdge> ALLOWED_EDGES =
+      List.of(
+          new AllowedEdge("controller.Controller", "config.Settings"),
+          new AllowedEdge("controller.Controller", "config.Settings$StateLimits"),
+          new AllowedEdge("controller.Controller", "config.OperatorSettings"),
+          new AllowedEdge("controller.Timings", "config.Settings"),
+          new AllowedEdge("controller.Timings", "config.OperatorSettings"),
+          new AllowedEdge("wire.CloudWire", "http.Request"),
+          new AllowedEdge("wire.StateWire", "http.Request"));
+
+  private final JavaClasses classes =
+      new ClassFileImporter()
+          .withImportOption(new ImportOption.DoNotIncludeTests())
+          .importPackages(ROOT);
+
+  /** A class that uses another against the order. */
+  private record AllowedEdge(String origin, String target) {
+    String originName() {
+      return ROOT + "." + origin;
+    }
+
+    String targetName() {
+      return ROOT + "." + target;
+    }
+  }
+
+  @Test
+  void packagesDependOnlyOnThoseBelowThem() {
+    LayeredArchitecture layers =
+        layeredArchitecture()
+            .consideringOnlyDependenciesInLayers()
+            .ensureAllClassesAreContainedInArchitecture();
+    List<String> above = new ArrayList<>();
+    for (List<String> rank : ORDER) {
+      for (String name : rank) {
+        layers = layers.layer(name).definedBy(ROOT + "." + name);
+        layers =
+            above.isEmpty()
+                ? layers.whereLayer(name).mayNotBeAccessedByAnyLayer()
+                : layers.whereLayer(name).mayOnlyBeAccessedByLayers(above.toArray(String[]::new));
+      }
+      above.addAll(rank);
+    }
+    for (AllowedEdge edge : ALLOWED_EDGES) {
+      layers = layers.ignoreDependency(edge.originName(), edge.targetName());
+    }
+    layers.check(classes);
+  }
+
+  @Test
+  void packagesFormNoCycle() {
+    slices().matching(ROOT + ".(*)").should().beFreeOfCycles().check(classes);
+  }
+
+  @Test
+  void eachAllowedEdgeIsStillNeeded() {
+    for (AllowedEdge edge : ALLOWED_EDGES) {
+      boolean used =
+          classes.get(edge.originName()).getDirectDependenciesFromSelf().stream()
+              .anyMatch(found -> found.getTargetClass().getName().equals(edge.targetName()));
+      assertTrue(used, edge + " is listed and not used");
+    }
+  }
+}
