--- a/src/main/java/io/cherryspool/controller/CatalogKeeper.java
+++ b/src/main/java/io/cherryspool/controller/CatalogKeeper.java
@@ -1,8 +1,8 @@
 package io.cherryspool.controller;
 
 import io.cherryspool.cloud.CloudClient;
-import io.cherryspool.duty.Duty;
-import io.cherryspool.duty.EventLoop;
+import io.cherryspool.lifecycle.EventLoop;
+import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.model.MachineType;
 import io.cherryspool.store.Budget;
 import io.cherryspool.store.Records;
@@ -21,7 +21,7 @@
  * Knows the machine types: from the cloud, or while the cloud is silent as a leader last recorded
  * them, so that a restarted node can accept jobs during an outage of the cloud.
  */
-final class CatalogKeeper implements Duty {
+final class CatalogKeeper implements Lifecycle {
   private static final Logger LOG = LoggerFactory.getLogger(CatalogKeeper.class);
   private static final Duration RENEW = Duration.ofSeconds(30);
   private static final Duration RETRY = Duration.ofSeconds(2);
--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -3,12 +3,12 @@
 import io.cherryspool.cloud.CloudClient;
 import io.cherryspool.config.OperatorSettings;
 import io.cherryspool.config.Settings;
-import io.cherryspool.duty.Duty;
-import io.cherryspool.duty.EventLoop;
 import io.cherryspool.http.Handler;
 import io.cherryspool.http.Reply;
 import io.cherryspool.http.Request;
 import io.cherryspool.http.Transport;
+import io.cherryspool.lifecycle.EventLoop;
+import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.mesh.Mesh;
 import io.cherryspool.model.Report;
 import io.cherryspool.model.Team;
@@ -40,7 +40,7 @@
  * One controller node: answers requests, takes part in elections, and leads while it is elected. It
  * knows sockets, clocks and chance only through what it is given.
  */
-public final class Controller implements Duty, Handler {
+public final class Controller implements Lifecycle, Handler {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
   private static final String JOBS = "/api/jobs";
   private static final String CANCEL = "/withdraw";
--- a/src/main/java/io/cherryspool/controller/Election.java
+++ b/src/main/java/io/cherryspool/controller/Election.java
@@ -1,7 +1,7 @@
 package io.cherryspool.controller;
 
-import io.cherryspool.duty.Duty;
-import io.cherryspool.duty.EventLoop;
+import io.cherryspool.lifecycle.EventLoop;
+import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.store.Budget;
 import io.cherryspool.store.Records;
 import io.cherryspool.store.Replica;
@@ -21,7 +21,7 @@
  * is read from the replica alone: an election whose answer was lost, or that is applied late,
  * counts as soon as its record is seen, and not before.
  */
-public final class Election implements Duty {
+public final class Election implements Lifecycle {
   private static final Logger LOG = LoggerFactory.getLogger(Election.class);
 
   private final EventLoop loop;
--- a/src/main/java/io/cherryspool/controller/LeaderTerm.java
+++ b/src/main/java/io/cherryspool/controller/LeaderTerm.java
@@ -1,8 +1,8 @@
 package io.cherryspool.controller;
 
 import io.cherryspool.cloud.CloudClient;
-import io.cherryspool.duty.Duty;
-import io.cherryspool.duty.EventLoop;
+import io.cherryspool.lifecycle.EventLoop;
+import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Order;
 import io.cherryspool.model.Report;
@@ -31,7 +31,7 @@
  * One term of this node as leader: rebuilds ownership, then runs rounds, until it is stopped. All
  * its memory goes with it; the next leader starts from the records and the workers' reports.
  */
-final class LeaderTerm implements Duty {
+final class LeaderTerm implements Lifecycle {
   private static final Logger LOG = LoggerFactory.getLogger(LeaderTerm.class);
 
   /** Calls that ask machines for their state at a time; each holds a socket. */
--- a/src/main/java/io/cherryspool/controller/Ownership.java
+++ b/src/main/java/io/cherryspool/controller/Ownership.java
@@ -1,6 +1,6 @@
 package io.cherryspool.controller;
 
-import io.cherryspool.duty.Duty;
+import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.model.Attempt;
 import io.cherryspool.model.Outcome;
 import io.cherryspool.model.Shard;
@@ -18,7 +18,7 @@
  * Who owns what, by machine, as the committed records say. It follows the records change by change,
  * so that a report costs the look-up of one machine however many tasks run.
  */
-final class Ownership implements Replica.Watcher, Duty {
+final class Ownership implements Replica.Watcher, Lifecycle {
 
   /** One owned task. */
   record Owned(JobEntry entry, TaskId id, Attempt attempt) {}
--- a/src/main/java/io/cherryspool/controller/Pusher.java
+++ b/src/main/java/io/cherryspool/controller/Pusher.java
@@ -1,6 +1,6 @@
 package io.cherryspool.controller;
 
-import io.cherryspool.duty.EventLoop;
+import io.cherryspool.lifecycle.EventLoop;
 import io.cherryspool.model.Order;
 import io.cherryspool.model.Report;
 import io.cherryspool.worker.WorkerClient;
--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Rental.java
@@ -1,8 +1,8 @@
 package io.cherryspool.controller;
 
 import io.cherryspool.cloud.CloudClient;
-import io.cherryspool.duty.Duty;
-import io.cherryspool.duty.EventLoop;
+import io.cherryspool.lifecycle.EventLoop;
+import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Rented;
 import io.cherryspool.scheduler.FleetPlan;
@@ -21,7 +21,7 @@
 import org.slf4j.LoggerFactory;
 
 /** The leader's dealings with the cloud: lists, rents and returns machines, one call at a time. */
-final class Rental implements Duty {
+final class Rental implements Lifecycle {
   /** A machine on which so many tasks in a row failed is not used again. */
   static final int SICK = 3;
 
--- a/src/main/java/io/cherryspool/controller/RoundWriter.java
+++ b/src/main/java/io/cherryspool/controller/RoundWriter.java
@@ -1,6 +1,6 @@
 package io.cherryspool.controller;
 
-import io.cherryspool.duty.EventLoop;
+import io.cherryspool.lifecycle.EventLoop;
 import io.cherryspool.store.Budget;
 import io.cherryspool.store.Records;
 import io.cherryspool.store.StateClient;
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -1,7 +1,7 @@
 package io.cherryspool.controller;
 
-import io.cherryspool.duty.Duty;
-import io.cherryspool.duty.EventLoop;
+import io.cherryspool.lifecycle.EventLoop;
+import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.model.Attempt;
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Team;
@@ -27,7 +27,7 @@
  * of it. One round is under way at a time; an event starts the next after a short gathering, longer
  * where rounds cost more, and the round length is the longest that one waits.
  */
-final class Rounds implements Duty {
+final class Rounds implements Lifecycle {
   private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
   private static final Duration GATHER = Duration.ofMillis(40);
   private static final Duration SPENT = Duration.ofMillis(120);
--- a/src/main/java/io/cherryspool/controller/package-info.java
+++ b/src/main/java/io/cherryspool/controller/package-info.java
@@ -7,8 +7,8 @@
  * safe.
  *
  * <p>May depend on {@code scheduler}, {@code store}, {@code cloud}, {@code worker}, {@code mesh},
- * {@code http}, {@code wire}, {@code model} and {@code duty}, and on {@code config} for the values
- * of the settings.
+ * {@code http}, {@code wire}, {@code model} and {@code lifecycle}, and on {@code config} for the
+ * values of the settings.
  *
  * <p>Threading: all of it runs on the node's event loop; nothing in here is synchronized or blocks.
  * Time and chance come from outside, so that the simulation can run the same code.
--- a/src/main/java/io/cherryspool/http/NettyLoop.java
+++ b/src/main/java/io/cherryspool/http/NettyLoop.java
@@ -1,6 +1,6 @@
 package io.cherryspool.http;
 
-import io.cherryspool.duty.EventLoop;
+import io.cherryspool.lifecycle.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -48,7 +48,7 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
-  /** A defect in one task must not silently end a duty's thread, nor the process. */
+  /** A defect in one task must not silently end the loop's thread, nor the process. */
   private static void runLogged(Runnable task) {
     try {
       task.run();
--- a/src/main/java/io/cherryspool/duty/EventLoop.java
+++ b/src/main/java/io/cherryspool/lifecycle/EventLoop.java
@@ -1,4 +1,4 @@
-package io.cherryspool.duty;
+package io.cherryspool.lifecycle;
 
 import java.time.Duration;
 
--- a/src/main/java/io/cherryspool/duty/Duty.java
+++ b/src/main/java/io/cherryspool/lifecycle/Lifecycle.java
@@ -1,9 +1,9 @@
-package io.cherryspool.duty;
+package io.cherryspool.lifecycle;
 
 /**
  * A long-lived activity of a node. Both calls come on the event loop; stop leaves no timer behind.
  */
-public interface Duty {
+public interface Lifecycle {
 
   void start();
 
--- a/src/main/java/io/cherryspool/duty/package-info.java
+++ b/src/main/java/io/cherryspool/lifecycle/package-info.java
@@ -6,4 +6,4 @@
  *
  * <p>Threading: the event loop is the one thread on which a node's state lives.
  */
-package io.cherryspool.duty;
+package io.cherryspool.lifecycle;
--- a/src/main/java/io/cherryspool/mesh/NettyMesh.java
+++ b/src/main/java/io/cherryspool/mesh/NettyMesh.java
@@ -1,8 +1,8 @@
 package io.cherryspool.mesh;
 
-import io.cherryspool.duty.Duty;
 import io.cherryspool.http.Endpoint;
 import io.cherryspool.http.NettyLoop;
+import io.cherryspool.lifecycle.Lifecycle;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -35,7 +35,7 @@
  * connection to each other for what it says itself. A word that can't go out now is dropped, since
  * the next one says more.
  */
-public final class NettyMesh implements Mesh, Duty {
+public final class NettyMesh implements Mesh, Lifecycle {
   private static final Logger LOG = LoggerFactory.getLogger(NettyMesh.class);
   private static final int MAX_FRAME = 4096;
   private static final int FIELDS = 6;
--- a/src/main/java/io/cherryspool/store/Budget.java
+++ b/src/main/java/io/cherryspool/store/Budget.java
@@ -1,6 +1,6 @@
 package io.cherryspool.store;
 
-import io.cherryspool.duty.EventLoop;
+import io.cherryspool.lifecycle.EventLoop;
 import java.time.Duration;
 
 /**
--- a/src/main/java/io/cherryspool/store/Replica.java
+++ b/src/main/java/io/cherryspool/store/Replica.java
@@ -1,8 +1,8 @@
 package io.cherryspool.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.cherryspool.duty.Duty;
-import io.cherryspool.duty.EventLoop;
+import io.cherryspool.lifecycle.EventLoop;
+import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Shard;
 import io.cherryspool.wire.CloudWire;
@@ -27,7 +27,7 @@
  * {@link #refresh} brings it to a moment after the call, which is what an answer that must not be
  * old needs. Requests that wait at the same time share one reading.
  */
-public final class Replica implements Duty {
+public final class Replica implements Lifecycle {
   private static final Logger LOG = LoggerFactory.getLogger(Replica.class);
   private static final Duration WATCH = Duration.ofSeconds(10);
   private static final Duration RETRY = Duration.ofMillis(300);
--- a/src/main/java/io/cherryspool/store/StateClient.java
+++ b/src/main/java/io/cherryspool/store/StateClient.java
@@ -1,11 +1,11 @@
 package io.cherryspool.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.cherryspool.duty.EventLoop;
 import io.cherryspool.http.Endpoint;
 import io.cherryspool.http.Reply;
 import io.cherryspool.http.Request;
 import io.cherryspool.http.Transport;
+import io.cherryspool.lifecycle.EventLoop;
 import io.cherryspool.wire.Json;
 import io.cherryspool.wire.StateWire;
 import io.cherryspool.wire.WireException;
--- a/src/test/java/io/cherryspool/PackageDependenciesTest.java
+++ b/src/test/java/io/cherryspool/PackageDependenciesTest.java
@@ -26,7 +26,7 @@
           List.of("http"),
           List.of("wire"),
           List.of("model"),
-          List.of("duty"));
+          List.of("lifecycle"));
 
   /** The single dependencies against the order; each reason is in docs/design.md. */
   private static final List<AllowedEdge> ALLOWED_EDGES =
--- a/src/test/java/io/cherryspool/sim/VirtualTime.java
+++ b/src/test/java/io/cherryspool/sim/VirtualTime.java
@@ -1,6 +1,6 @@
 package io.cherryspool.sim;
 
-import io.cherryspool.duty.EventLoop;
+import io.cherryspool.lifecycle.EventLoop;
 import java.time.Duration;
 import java.util.PriorityQueue;
 
