--- a/src/main/java/io/cherryspool/controller/LeaderTerm.java
+++ b/src/main/java/io/cherryspool/controller/LeaderTerm.java
@@ -100,14 +100,14 @@
     this.orders = new Orders(stops, tokens, proofs);
     this.pusher = new Pusher(loop, workers, tokens, timings.workerCall(), this::pushed);
     this.workload = new Workload(replica, proofs, backoff, cluster.wall());
-    Judge judge = new Judge(timings, tokens, stops, started);
+    ReleaseEvidence evidence = new ReleaseEvidence(timings, tokens, stops, started);
     this.rounds =
         new Rounds(
             loop,
             replica,
             writer,
             fleet,
-            judge,
+            evidence,
             new Rounds.Ledger(ownership, proofs, stops, backoff),
             tokens,
             cluster.teams(),
--- a/src/main/java/io/cherryspool/controller/Proofs.java
+++ b/src/main/java/io/cherryspool/controller/Proofs.java
@@ -17,13 +17,13 @@
 final class Proofs {
 
   /** That the attempt has ended, how, and when this leader learnt it. */
-  record Proof(Ownership.Owned owned, Judge.Verdict verdict, Duration at) {
+  record Proof(Ownership.Owned owned, ReleaseEvidence.Verdict verdict, Duration at) {
     boolean done() {
-      return verdict == Judge.Verdict.DONE;
+      return verdict == ReleaseEvidence.Verdict.DONE;
     }
 
     boolean failed() {
-      return verdict == Judge.Verdict.FAILED || verdict == Judge.Verdict.LAPSED;
+      return verdict == ReleaseEvidence.Verdict.FAILED || verdict == ReleaseEvidence.Verdict.LAPSED;
     }
   }
 
--- a/src/main/java/io/cherryspool/controller/Judge.java
+++ b/src/main/java/io/cherryspool/controller/ReleaseEvidence.java
@@ -11,13 +11,13 @@
  * the worker is in a later session; the cloud has confirmed the machine's deletion; or the lease
  * that could keep the worker's tasks alive has surely run out.
  */
-final class Judge {
+final class ReleaseEvidence {
   private final Timings timings;
   private final Tokens tokens;
   private final Stops stops;
   private final Duration termStart;
 
-  Judge(Timings timings, Tokens tokens, Stops stops, Duration termStart) {
+  ReleaseEvidence(Timings timings, Tokens tokens, Stops stops, Duration termStart) {
     this.timings = timings;
     this.tokens = tokens;
     this.stops = stops;
@@ -36,7 +36,7 @@
     NEEDS_FENCE
   }
 
-  Verdict judge(Ownership.Owned owned, MachineState machine, Duration now) {
+  Verdict assess(Ownership.Owned owned, MachineState machine, Duration now) {
     if (machine == null) {
       return lapsed(termStart.plus(timings.authority()), now);
     }
@@ -49,15 +49,15 @@
       if (latest.session() > attempt.session()) {
         return Verdict.LAPSED;
       }
-      Verdict told = told(owned, machine);
-      if (told != Verdict.OWNED) {
-        return told;
+      Verdict reported = reported(owned, machine);
+      if (reported != Verdict.OWNED) {
+        return reported;
       }
     }
     return lapsed(keptAliveUntil(machine), now);
   }
 
-  private Verdict told(Ownership.Owned owned, MachineState machine) {
+  private Verdict reported(Ownership.Owned owned, MachineState machine) {
     Attempt attempt = owned.attempt();
     Report.TaskReport item = machine.find(owned.id(), attempt.number());
     if (item == null) {
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -45,7 +45,7 @@
   private final Replica replica;
   private final RoundWriter writer;
   private final Fleet fleet;
-  private final Judge judge;
+  private final ReleaseEvidence evidence;
   private final Ledger ledger;
   private final Tokens tokens;
   private final RoundView view;
@@ -72,7 +72,7 @@
       Replica replica,
       RoundWriter writer,
       Fleet fleet,
-      Judge judge,
+      ReleaseEvidence evidence,
       Ledger ledger,
       Tokens tokens,
       Map<String, Team> teams,
@@ -86,7 +86,7 @@
     this.replica = replica;
     this.writer = writer;
     this.fleet = fleet;
-    this.judge = judge;
+    this.evidence = evidence;
     this.ledger = ledger;
     this.tokens = tokens;
     this.teams = teams;
@@ -274,11 +274,11 @@
         if (ledger.proofs().has(owned)) {
           continue;
         }
-        Judge.Verdict verdict = judge.judge(owned, machine, now);
-        if (verdict == Judge.Verdict.NEEDS_FENCE) {
+        ReleaseEvidence.Verdict verdict = evidence.assess(owned, machine, now);
+        if (verdict == ReleaseEvidence.Verdict.NEEDS_FENCE) {
           fence = true;
           dirty.add(name);
-        } else if (verdict != Judge.Verdict.OWNED) {
+        } else if (verdict != ReleaseEvidence.Verdict.OWNED) {
           take(owned, machine, verdict, now);
         }
       }
@@ -289,11 +289,11 @@
   }
 
   private void take(
-      Ownership.Owned owned, MachineState machine, Judge.Verdict verdict, Duration now) {
+      Ownership.Owned owned, MachineState machine, ReleaseEvidence.Verdict verdict, Duration now) {
     JobEntry entry = owned.entry();
     Attempt attempt = owned.attempt();
     ledger.proofs().add(new Proofs.Proof(owned, verdict, now));
-    boolean done = verdict == Judge.Verdict.DONE;
+    boolean done = verdict == ReleaseEvidence.Verdict.DONE;
     view.ended(owned.id(), done, now);
     if (machine != null) {
       machine.view = null;
@@ -309,20 +309,22 @@
       }
       return;
     }
-    if (verdict == Judge.Verdict.LAPSED) {
+    if (verdict == ReleaseEvidence.Verdict.LAPSED) {
       meters.lapses.increment();
-    } else if (verdict == Judge.Verdict.FAILED) {
+    } else if (verdict == ReleaseEvidence.Verdict.FAILED) {
       meters.failures.increment();
     }
-    if (verdict != Judge.Verdict.ENDED) {
+    if (verdict != ReleaseEvidence.Verdict.ENDED) {
       LOG.info(
           "task {} try {} on {}: {}", owned.id(), attempt.number(), attempt.machine(), verdict);
     }
-    if (machine != null && (verdict == Judge.Verdict.FAILED || verdict == Judge.Verdict.REFUSED)) {
+    if (machine != null
+        && (verdict == ReleaseEvidence.Verdict.FAILED
+            || verdict == ReleaseEvidence.Verdict.REFUSED)) {
       machine.failedJobs.put(entry.job().id(), now);
     }
     if (machine != null
-        && verdict == Judge.Verdict.FAILED
+        && verdict == ReleaseEvidence.Verdict.FAILED
         && ledger.backoff().failed(entry, view.succeeded(entry), machine, now)) {
       machine.failuresInARow++;
     }
--- a/src/test/java/io/cherryspool/controller/FenceTest.java
+++ b/src/test/java/io/cherryspool/controller/FenceTest.java
@@ -33,7 +33,7 @@
           Duration.ofSeconds(5));
   private final Tokens tokens = new Tokens(5);
   private final Stops stops = new Stops();
-  private final Judge judge = new Judge(timings, tokens, stops, START);
+  private final ReleaseEvidence evidence = new ReleaseEvidence(timings, tokens, stops, START);
   private final Orders orders = new Orders(stops, tokens, new Proofs());
   private final MachineState machine = new MachineState("host-1", "box", "a", false, START);
   private final Job job = JobFixture.job("req-000001", Priority.NORMAL, 1, 1);
@@ -51,28 +51,30 @@
     assertTrue(machine.accept(report, START.plusSeconds(1)));
   }
 
-  private Judge.Verdict at(double seconds) {
-    return judge.judge(owned, machine, START.plusMillis((long) (seconds * 1000)));
+  private ReleaseEvidence.Verdict at(double seconds) {
+    return evidence.assess(owned, machine, START.plusMillis((long) (seconds * 1000)));
   }
 
   @Test
   void absenceProvesNothingWhileAStartMayStillRun() {
     stops.add(TASK, 1, Duration.ZERO);
     hears(3, tokens.base() - 1, null, null);
-    assertEquals(Judge.Verdict.NEEDS_FENCE, at(2), "an earlier leader's start is not fenced yet");
+    assertEquals(
+        ReleaseEvidence.Verdict.NEEDS_FENCE, at(2), "an earlier leader's start is not fenced yet");
     hears(3, tokens.current(), null, null);
-    assertEquals(Judge.Verdict.ENDED, at(2));
+    assertEquals(ReleaseEvidence.Verdict.ENDED, at(2));
     machine.started.put(Order.start(TASK, 1), tokens.current());
-    assertEquals(Judge.Verdict.NEEDS_FENCE, at(2), "this leader's own start may be on its way");
+    assertEquals(
+        ReleaseEvidence.Verdict.NEEDS_FENCE, at(2), "this leader's own start may be on its way");
     tokens.next();
     hears(3, tokens.current(), null, null);
-    assertEquals(Judge.Verdict.ENDED, at(2));
+    assertEquals(ReleaseEvidence.Verdict.ENDED, at(2));
   }
 
   @Test
   void absenceProvesNothingOfATaskThatIsStillWanted() {
     hears(3, tokens.current(), null, null);
-    assertEquals(Judge.Verdict.OWNED, at(2));
+    assertEquals(ReleaseEvidence.Verdict.OWNED, at(2));
     assertEquals(List.of(Order.start(TASK, 1)), orders.of(machine, List.of(owned)));
   }
 
@@ -81,38 +83,39 @@
   void anEndedAttemptIsNeitherFreedNorForgottenWhileACommandHasNoAnswer() {
     machine.unanswered = tokens.current();
     hears(3, tokens.current(), Report.State.EXITED, Report.Cause.ERROR);
-    assertEquals(Judge.Verdict.NEEDS_FENCE, at(2));
+    assertEquals(ReleaseEvidence.Verdict.NEEDS_FENCE, at(2));
     assertEquals(List.of(), orders.of(machine, List.of()), "not forgotten either");
     tokens.next();
     hears(3, tokens.current(), Report.State.EXITED, Report.Cause.ERROR);
-    assertEquals(Judge.Verdict.FAILED, at(2));
+    assertEquals(ReleaseEvidence.Verdict.FAILED, at(2));
     assertEquals(List.of(Order.forget(TASK, 1)), orders.of(machine, List.of()));
   }
 
   @Test
   void aLaterSessionOrADeletionIsProofAndAnOlderMessageIsNot() {
     hears(4, tokens.base() - 1, null, null);
-    assertEquals(Judge.Verdict.LAPSED, at(2));
+    assertEquals(ReleaseEvidence.Verdict.LAPSED, at(2));
     Report old = new Report("host-1", "127.0.0.1:1", "box", "a", false, 3, 99, 0, null, List.of());
     assertEquals(false, machine.accept(old, START));
     MachineState deleted = new MachineState("host-1", "box", "a", false, START);
     deleted.gone = true;
-    assertEquals(Judge.Verdict.LAPSED, judge.judge(owned, deleted, START));
+    assertEquals(ReleaseEvidence.Verdict.LAPSED, evidence.assess(owned, deleted, START));
   }
 
   @Test
   void aSilentMachineLapsesOnlyWhenNoLeaderCanHaveKeptItAlive() {
     double earlier = AUTHORITY.toSeconds() + LEASE.toSeconds();
-    assertEquals(Judge.Verdict.OWNED, at(earlier - 0.1), "a cut-off leader may still answer it");
-    assertEquals(Judge.Verdict.LAPSED, at(earlier + 0.1));
     assertEquals(
-        Judge.Verdict.OWNED,
-        judge.judge(owned, null, START.plusMillis((long) (earlier * 1000) - 100)),
+        ReleaseEvidence.Verdict.OWNED, at(earlier - 0.1), "a cut-off leader may still answer it");
+    assertEquals(ReleaseEvidence.Verdict.LAPSED, at(earlier + 0.1));
+    assertEquals(
+        ReleaseEvidence.Verdict.OWNED,
+        evidence.assess(owned, null, START.plusMillis((long) (earlier * 1000) - 100)),
         "nor is a machine never heard of any sooner free");
     hears(3, tokens.current(), Report.State.RUNNING, null);
     machine.answered = START.plusSeconds(4);
-    assertEquals(Judge.Verdict.OWNED, at(4 + LEASE.toSeconds() - 0.1));
-    assertEquals(Judge.Verdict.LAPSED, at(4 + LEASE.toSeconds() + 0.1));
+    assertEquals(ReleaseEvidence.Verdict.OWNED, at(4 + LEASE.toSeconds() - 0.1));
+    assertEquals(ReleaseEvidence.Verdict.LAPSED, at(4 + LEASE.toSeconds() + 0.1));
   }
 
   /**
@@ -137,9 +140,9 @@
             null,
             List.of(new Report.TaskReport(TASK, 1, Report.State.RUNNING, null)));
     assertTrue(machine.accept(next, START.plusSeconds(30)));
-    assertEquals(Judge.Verdict.OWNED, at(31));
-    assertEquals(Judge.Verdict.OWNED, at(30 + LEASE.toSeconds() - 0.1));
-    assertEquals(Judge.Verdict.LAPSED, at(30 + LEASE.toSeconds() + 0.1));
+    assertEquals(ReleaseEvidence.Verdict.OWNED, at(31));
+    assertEquals(ReleaseEvidence.Verdict.OWNED, at(30 + LEASE.toSeconds() - 0.1));
+    assertEquals(ReleaseEvidence.Verdict.LAPSED, at(30 + LEASE.toSeconds() + 0.1));
   }
 
   @Test
--- a/src/test/java/io/cherryspool/controller/RoundEditsTest.java
+++ b/src/test/java/io/cherryspool/controller/RoundEditsTest.java
@@ -27,7 +27,7 @@
   private final JobEntry entry = JobEntryFixture.running(job, 3, "host-1");
   private final Proofs proofs = new Proofs();
 
-  private void ended(int task, Judge.Verdict verdict, int at) {
+  private void ended(int task, ReleaseEvidence.Verdict verdict, int at) {
     Attempt attempt = entry.shard(0).shard().owner(task);
     proofs.add(
         new Proofs.Proof(
@@ -46,7 +46,7 @@
 
   @Test
   void aFreshEndWaitsForAnotherChangeOfItsShard() {
-    ended(0, Judge.Verdict.DONE, 101);
+    ended(0, ReleaseEvidence.Verdict.DONE, 101);
     assertEquals(List.of(), units(edits()));
     RoundEdits edits = edits();
     edits.assign(entry, 3, "host-2", 1, 9);
@@ -61,16 +61,16 @@
 
   @Test
   void itWaitsAsLongAsTheBudgetIsShortButNotForGood() {
-    ended(0, Judge.Verdict.DONE, 99);
+    ended(0, ReleaseEvidence.Verdict.DONE, 99);
     assertEquals(Budget.Use.LATER, units(edits()).get(0).use());
-    ended(1, Judge.Verdict.FAILED, 79);
+    ended(1, ReleaseEvidence.Verdict.FAILED, 79);
     assertEquals(Budget.Use.ROUND, units(edits()).get(0).use());
   }
 
   /** The freed task is planned again before its release is written. */
   @Test
   void aReleaseAndTheNextStartOfATaskAreOneWrite() {
-    ended(2, Judge.Verdict.LAPSED, 101);
+    ended(2, ReleaseEvidence.Verdict.LAPSED, 101);
     RoundEdits edits = edits();
     edits.assign(entry, 2, "host-2", 4, 9);
     String value = units(edits).get(0).changes().get(0).value().toString();
@@ -86,7 +86,7 @@
       proofs.add(
           new Proofs.Proof(
               new Ownership.Owned(all, new TaskId(ID, task), attempt),
-              Judge.Verdict.DONE,
+              ReleaseEvidence.Verdict.DONE,
               Duration.ofSeconds(101)));
     }
     List<RoundWriter.Unit> units = edits().units(List.of(all), DUE, OVERDUE);
