--- a/src/main/java/io/cherryspool/controller/LeaderTerm.java
+++ b/src/main/java/io/cherryspool/controller/LeaderTerm.java
@@ -54,7 +54,7 @@
   private final long term;
   private final Fleet fleet = new Fleet();
   private final Ownership ownership;
-  private final Proofs proofs = new Proofs();
+  private final PendingReleases pendingReleases = new PendingReleases();
   private final Stops stops = new Stops();
   private final CrashLoopBackoff backoff = new CrashLoopBackoff();
   private final Orders orders;
@@ -97,9 +97,9 @@
     this.started = loop.now();
     this.tokens = new Tokens(term);
     this.ownership = new Ownership(replica);
-    this.orders = new Orders(stops, tokens, proofs);
+    this.orders = new Orders(stops, tokens, pendingReleases);
     this.pusher = new Pusher(loop, workers, tokens, timings.workerCall(), this::pushed);
-    this.workload = new Workload(replica, proofs, backoff, cluster.wall());
+    this.workload = new Workload(replica, pendingReleases, backoff, cluster.wall());
     ReleaseEvidence evidence = new ReleaseEvidence(timings, tokens, stops, started);
     this.rounds =
         new Rounds(
@@ -108,7 +108,7 @@
             writer,
             fleet,
             evidence,
-            new Rounds.Ledger(ownership, proofs, stops, backoff),
+            new Rounds.Ledger(ownership, pendingReleases, stops, backoff),
             tokens,
             cluster.teams(),
             cluster.catalog(),
@@ -156,7 +156,7 @@
 
     @Override
     public void released(Ownership.Owned owned) {
-      proofs.drop(owned);
+      pendingReleases.drop(owned);
       stops.drop(owned);
       MachineState machine = fleet.get(owned.attempt().machine());
       if (machine != null) {
--- a/src/main/java/io/cherryspool/controller/Orders.java
+++ b/src/main/java/io/cherryspool/controller/Orders.java
@@ -13,12 +13,12 @@
 final class Orders {
   private final Stops stops;
   private final Tokens tokens;
-  private final Proofs proofs;
+  private final PendingReleases pendingReleases;
 
-  Orders(Stops stops, Tokens tokens, Proofs proofs) {
+  Orders(Stops stops, Tokens tokens, PendingReleases pendingReleases) {
     this.stops = stops;
     this.tokens = tokens;
-    this.proofs = proofs;
+    this.pendingReleases = pendingReleases;
   }
 
   List<Order> of(MachineState machine, List<Ownership.Owned> owned) {
@@ -47,7 +47,7 @@
           && item.entry().outcome() == null
           && stops.of(item) == null
           // An attempt that has ended must not run once more while its end waits to be written.
-          && !proofs.has(item)
+          && !pendingReleases.has(item)
           && machine.find(item.id(), item.attempt().number()) == null) {
         orders.add(Order.start(item.id(), item.attempt().number()));
       }
--- a/src/main/java/io/cherryspool/controller/RoundEdits.java
+++ b/src/main/java/io/cherryspool/controller/RoundEdits.java
@@ -18,12 +18,12 @@
 import java.util.TreeMap;
 
 /**
- * Turns a round's assignments and the proofs at hand into changes of records, the pressing ones
- * first: ends of jobs, then starts, each taking the proofs of its shard along, then proofs that
+ * Turns a round's assignments and the pending releases into changes of records, the pressing ones
+ * first: ends of jobs, then starts, each taking the releases of its shard along, then releases that
  * have waited long enough, then records of ended jobs.
  */
 final class RoundEdits {
-  private final Proofs proofs;
+  private final PendingReleases pendingReleases;
   private final int maxChanges;
   private final Map<String, Edit> edits = new LinkedHashMap<>();
 
@@ -45,13 +45,13 @@
         return known;
       }
       Shard.Editor editor = entry.shard(index).shard().edit();
-      for (Proofs.Proof proof : proofs.ofJob(entry.job().id()).values()) {
-        int task = proof.owned().id().number();
+      for (PendingReleases.Release release : pendingReleases.ofJob(entry.job().id()).values()) {
+        int task = release.owned().id().number();
         if (entry.shardOf(task) == index) {
-          if (proof.done()) {
+          if (release.done()) {
             editor.complete(task);
           } else {
-            editor.release(task, proof.failed());
+            editor.release(task, release.failed());
           }
         }
       }
@@ -60,8 +60,8 @@
     }
   }
 
-  RoundEdits(Proofs proofs, int maxChanges) {
-    this.proofs = proofs;
+  RoundEdits(PendingReleases pendingReleases, int maxChanges) {
+    this.pendingReleases = pendingReleases;
     this.maxChanges = maxChanges;
   }
 
@@ -75,7 +75,7 @@
   /**
    * The changes to commit, the pressing ones first.
    *
-   * @param due proofs learnt until then are written even if nothing else needs their shard
+   * @param due releases learnt until then are written even if nothing else needs their shard
    * @param overdue those learnt until then press as much as anything
    */
   List<RoundWriter.Unit> units(Collection<JobEntry> active, Duration due, Duration overdue) {
@@ -85,20 +85,20 @@
     Ranks idle = new Ranks();
     List<RoundWriter.Unit> rest = new ArrayList<>();
     Set<String> ending = new HashSet<>();
-    for (String id : proofs.jobs()) {
-      Collection<Proofs.Proof> known = proofs.ofJob(id).values();
+    for (String id : pendingReleases.jobs()) {
+      Collection<PendingReleases.Release> known = pendingReleases.ofJob(id).values();
       JobEntry entry = known.iterator().next().owned().entry();
-      boolean whole = entry.doneCount() + Proofs.done(known) == entry.job().tasks();
+      boolean whole = entry.doneCount() + PendingReleases.countDone(known) == entry.job().tasks();
       boolean write = entry.outcome() == null && whole;
       boolean late = false;
-      for (Proofs.Proof proof : known) {
-        write |= proof.at().compareTo(due) <= 0;
-        late |= proof.at().compareTo(overdue) <= 0;
+      for (PendingReleases.Release release : known) {
+        write |= release.at().compareTo(due) <= 0;
+        late |= release.at().compareTo(overdue) <= 0;
       }
       if (write) {
         Edit edit = edits.computeIfAbsent(id, key -> new Edit(entry));
         edit.late = late;
-        known.forEach(proof -> edit.shard(entry.shardOf(proof.owned().id().number())));
+        known.forEach(release -> edit.shard(entry.shardOf(release.owned().id().number())));
       }
       if (entry.outcome() == null && whole) {
         ending.add(id);
--- a/src/main/java/io/cherryspool/controller/RoundView.java
+++ b/src/main/java/io/cherryspool/controller/RoundView.java
@@ -36,7 +36,7 @@
   private final Replica replica;
   private final Fleet fleet;
   private final Ownership ownership;
-  private final Proofs proofs;
+  private final PendingReleases pendingReleases;
   private final Stops stops;
   private final CrashLoopBackoff backoff;
   private final Tokens tokens;
@@ -60,7 +60,7 @@
     this.replica = replica;
     this.fleet = fleet;
     this.ownership = ledger.ownership();
-    this.proofs = ledger.proofs();
+    this.pendingReleases = ledger.pendingReleases();
     this.stops = ledger.stops();
     this.backoff = ledger.backoff();
     this.tokens = tokens;
@@ -116,7 +116,7 @@
   Map<String, Resources> teamUse() {
     Map<String, Resources> use = new HashMap<>();
     for (JobEntry entry : replica.active()) {
-      Map<Integer, Proofs.Proof> known = proofs.ofJob(entry.job().id());
+      Map<Integer, PendingReleases.Release> known = pendingReleases.ofJob(entry.job().id());
       int count = entry.ownedCount() - known.size();
       if (count > 0) {
         use.merge(entry.job().team(), entry.job().perTask().times(count), Resources::plus);
@@ -190,7 +190,7 @@
     Resources free = type.size();
     List<ClusterView.RunningTask> running = new ArrayList<>();
     for (Ownership.Owned owned : ownership.on(machine.name)) {
-      if (!proofs.has(owned)) {
+      if (!pendingReleases.has(owned)) {
         Job job = owned.entry().job();
         free = free.minus(job.perTask());
         running.add(
@@ -212,7 +212,7 @@
 
   private SeenJob look(JobEntry entry, Duration now) {
     Job job = entry.job();
-    Map<Integer, Proofs.Proof> known = proofs.ofJob(job.id());
+    Map<Integer, PendingReleases.Release> known = pendingReleases.ofJob(job.id());
     List<ClusterView.FreeTask> free = new ArrayList<>();
     Duration until = null;
     int held = 0;
@@ -224,12 +224,12 @@
       for (int task = shard.nextUndone(entry.firstTask(index));
           task < end && free.size() < FREE_TASKS_PER_JOB;
           task = shard.nextUndone(task + 1)) {
-        Proofs.Proof proof = known.get(task);
-        if (shard.owner(task) != null && (proof == null || proof.done())) {
+        PendingReleases.Release release = known.get(task);
+        if (shard.owner(task) != null && (release == null || release.done())) {
           continue;
         }
         Shard.History history = shard.history(task);
-        int failures = history.failures() + (proof != null && proof.failed() ? 1 : 0);
+        int failures = history.failures() + (release != null && release.failed() ? 1 : 0);
         if (history.attempts() == 0) {
           free.add(new ClusterView.FreeTask(task, 0, failures, null));
           continue;
@@ -273,7 +273,8 @@
 
   /** Whether any task of the job was ever done. */
   boolean succeeded(JobEntry entry) {
-    return entry.doneCount() > 0 || Proofs.done(proofs.ofJob(entry.job().id()).values()) > 0;
+    return entry.doneCount() > 0
+        || PendingReleases.countDone(pendingReleases.ofJob(entry.job().id()).values()) > 0;
   }
 
   /** The task that failed least, and the first one again: one of either kind may be the bad one. */
@@ -291,7 +292,7 @@
   /** The owned tasks by zone; null if one is on a machine of which nothing is known. */
   private Map<String, Integer> perZone(JobEntry entry) {
     Map<String, Integer> result = new HashMap<>();
-    Map<Integer, Proofs.Proof> known = proofs.ofJob(entry.job().id());
+    Map<Integer, PendingReleases.Release> known = pendingReleases.ofJob(entry.job().id());
     for (JobEntry.Versioned item : entry.shards().values()) {
       for (Attempt attempt : item.shard().owned().values()) {
         if (!known.containsKey(attempt.task())) {
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -35,7 +35,7 @@
   /** Rounds take at most about one part in so many of the processor. */
   private static final int COST_SHARE = 4;
 
-  /** How long a proof that nothing waits for may wait for other changes of its shard. */
+  /** How long a release that nothing waits for may wait for other changes of its shard. */
   private static final Duration LAZY = Duration.ofSeconds(4);
 
   /** And how long at most, however many writes there are; after so long users see the count old. */
@@ -107,8 +107,12 @@
             limits.failureCap());
   }
 
-  /** What the leader knows of owned tasks: by the records, by proof, and by its own decision. */
-  record Ledger(Ownership ownership, Proofs proofs, Stops stops, CrashLoopBackoff backoff) {}
+  /** What the leader knows of owned tasks: by the records, by evidence, and by its own decision. */
+  record Ledger(
+      Ownership ownership,
+      PendingReleases pendingReleases,
+      Stops stops,
+      CrashLoopBackoff backoff) {}
 
   /** A round's sizes and times, from the settings. */
   record Limits(
@@ -172,7 +176,7 @@
 
   /** The records were read anew. */
   void reloaded() {
-    ledger.proofs().clear();
+    ledger.pendingReleases().clear();
     view.clear();
     dirty.addAll(ledger.ownership().machines());
   }
@@ -211,7 +215,7 @@
     wanted = false;
     lastRun = loop.now();
     takeIn();
-    RoundEdits edits = new RoundEdits(ledger.proofs(), limits.maxChanges());
+    RoundEdits edits = new RoundEdits(ledger.pendingReleases(), limits.maxChanges());
     if (placing && catalog.get() != null) {
       place(edits);
     }
@@ -271,7 +275,7 @@
         machine.gone = true;
       }
       for (Ownership.Owned owned : ledger.ownership().on(name)) {
-        if (ledger.proofs().has(owned)) {
+        if (ledger.pendingReleases().has(owned)) {
           continue;
         }
         ReleaseEvidence.Verdict verdict = evidence.assess(owned, machine, now);
@@ -292,7 +296,7 @@
       Ownership.Owned owned, MachineState machine, ReleaseEvidence.Verdict verdict, Duration now) {
     JobEntry entry = owned.entry();
     Attempt attempt = owned.attempt();
-    ledger.proofs().add(new Proofs.Proof(owned, verdict, now));
+    ledger.pendingReleases().add(new PendingReleases.Release(owned, verdict, now));
     boolean done = verdict == ReleaseEvidence.Verdict.DONE;
     view.ended(owned.id(), done, now);
     if (machine != null) {
--- a/src/main/java/io/cherryspool/controller/Workload.java
+++ b/src/main/java/io/cherryspool/controller/Workload.java
@@ -38,7 +38,7 @@
   private static final double MOST = 3;
 
   private final Replica replica;
-  private final Proofs proofs;
+  private final PendingReleases pendingReleases;
   private final CrashLoopBackoff backoff;
   private final Supplier<Instant> wall;
   private final Map<String, JobEntry> recent = new LinkedHashMap<>();
@@ -51,9 +51,13 @@
     private int count;
   }
 
-  Workload(Replica replica, Proofs proofs, CrashLoopBackoff backoff, Supplier<Instant> wall) {
+  Workload(
+      Replica replica,
+      PendingReleases pendingReleases,
+      CrashLoopBackoff backoff,
+      Supplier<Instant> wall) {
     this.replica = replica;
-    this.proofs = proofs;
+    this.pendingReleases = pendingReleases;
     this.backoff = backoff;
     this.wall = wall;
   }
@@ -116,9 +120,10 @@
     }
     for (JobEntry entry : replica.active()) {
       if (entry.outcome() == null && !crashLooping(entry)) {
-        Collection<Proofs.Proof> known = proofs.ofJob(entry.job().id()).values();
+        Collection<PendingReleases.Release> known =
+            pendingReleases.ofJob(entry.job().id()).values();
         int running = entry.ownedCount() - known.size();
-        int done = entry.doneCount() + Proofs.done(known);
+        int done = entry.doneCount() + PendingReleases.countDone(known);
         int waiting = entry.job().tasks() - done - running;
         if (waiting > 0) {
           result.add(new FleetPlan.Load(entry.job(), 0, 0, work(entry.job(), waiting)));
@@ -129,8 +134,8 @@
   }
 
   private boolean crashLooping(JobEntry entry) {
-    Collection<Proofs.Proof> known = proofs.ofJob(entry.job().id()).values();
-    return entry.doneCount() + Proofs.done(known) == 0 && backoff.crashLooping(entry);
+    Collection<PendingReleases.Release> known = pendingReleases.ofJob(entry.job().id()).values();
+    return entry.doneCount() + PendingReleases.countDone(known) == 0 && backoff.crashLooping(entry);
   }
 
   private double work(Job job, int tasks) {
--- a/src/test/java/io/cherryspool/controller/FenceTest.java
+++ b/src/test/java/io/cherryspool/controller/FenceTest.java
@@ -34,7 +34,7 @@
   private final Tokens tokens = new Tokens(5);
   private final Stops stops = new Stops();
   private final ReleaseEvidence evidence = new ReleaseEvidence(timings, tokens, stops, START);
-  private final Orders orders = new Orders(stops, tokens, new Proofs());
+  private final Orders orders = new Orders(stops, tokens, new PendingReleases());
   private final MachineState machine = new MachineState("host-1", "box", "a", false, START);
   private final Job job = JobFixture.job("req-000001", Priority.NORMAL, 1, 1);
   private final Ownership.Owned owned =
--- a/src/test/java/io/cherryspool/controller/RoundEditsTest.java
+++ b/src/test/java/io/cherryspool/controller/RoundEditsTest.java
@@ -25,12 +25,12 @@
 
   private final Job job = JobFixture.job(ID, Priority.NORMAL, 4, 1);
   private final JobEntry entry = JobEntryFixture.running(job, 3, "host-1");
-  private final Proofs proofs = new Proofs();
+  private final PendingReleases pendingReleases = new PendingReleases();
 
   private void ended(int task, ReleaseEvidence.Verdict verdict, int at) {
     Attempt attempt = entry.shard(0).shard().owner(task);
-    proofs.add(
-        new Proofs.Proof(
+    pendingReleases.add(
+        new PendingReleases.Release(
             new Ownership.Owned(entry, new TaskId(ID, task), attempt),
             verdict,
             Duration.ofSeconds(at)));
@@ -41,7 +41,7 @@
   }
 
   private RoundEdits edits() {
-    return new RoundEdits(proofs, 8);
+    return new RoundEdits(pendingReleases, 8);
   }
 
   @Test
@@ -83,8 +83,8 @@
     JobEntry all = JobEntryFixture.running(JobFixture.job(ID, Priority.NORMAL, 2, 1), 2, "host-1");
     for (int task = 0; task < 2; task++) {
       Attempt attempt = all.shard(0).shard().owner(task);
-      proofs.add(
-          new Proofs.Proof(
+      pendingReleases.add(
+          new PendingReleases.Release(
               new Ownership.Owned(all, new TaskId(ID, task), attempt),
               ReleaseEvidence.Verdict.DONE,
               Duration.ofSeconds(101)));
