--- a/src/main/java/io/cherryspool/controller/LeaderTerm.java
+++ b/src/main/java/io/cherryspool/controller/LeaderTerm.java
@@ -55,7 +55,7 @@
   private final Fleet fleet = new Fleet();
   private final Ownership ownership;
   private final PendingReleases pendingReleases = new PendingReleases();
-  private final Stops stops = new Stops();
+  private final StopRequests stopRequests = new StopRequests();
   private final CrashLoopBackoff backoff = new CrashLoopBackoff();
   private final Orders orders;
   private final Pusher pusher;
@@ -97,10 +97,10 @@
     this.started = loop.now();
     this.tokens = new Tokens(term);
     this.ownership = new Ownership(replica);
-    this.orders = new Orders(stops, tokens, pendingReleases);
+    this.orders = new Orders(stopRequests, tokens, pendingReleases);
     this.pusher = new Pusher(loop, workers, tokens, timings.workerCall(), this::pushed);
     this.workload = new Workload(replica, pendingReleases, backoff, cluster.wall());
-    ReleaseEvidence evidence = new ReleaseEvidence(timings, tokens, stops, started);
+    ReleaseEvidence evidence = new ReleaseEvidence(timings, tokens, stopRequests, started);
     this.rounds =
         new Rounds(
             loop,
@@ -108,7 +108,7 @@
             writer,
             fleet,
             evidence,
-            new Rounds.Ledger(ownership, pendingReleases, stops, backoff),
+            new Rounds.Ledger(ownership, pendingReleases, stopRequests, backoff),
             tokens,
             cluster.teams(),
             cluster.catalog(),
@@ -157,7 +157,7 @@
     @Override
     public void released(Ownership.Owned owned) {
       pendingReleases.drop(owned);
-      stops.drop(owned);
+      stopRequests.drop(owned);
       MachineState machine = fleet.get(owned.attempt().machine());
       if (machine != null) {
         machine.started.remove(Order.start(owned.id(), owned.attempt().number()));
@@ -310,7 +310,7 @@
       Duration save = owned.entry().job().save();
       boolean saves = !owned.entry().job().checkpoint().isZero();
       if (saves && save.compareTo(machine.latest.notice()) < 0) {
-        stops.add(owned.id(), owned.attempt().number(), machine.latest.notice());
+        stopRequests.add(owned.id(), owned.attempt().number(), machine.latest.notice());
         rounds.machineTouched(machine.name);
       }
     }
--- a/src/main/java/io/cherryspool/controller/Orders.java
+++ b/src/main/java/io/cherryspool/controller/Orders.java
@@ -11,12 +11,12 @@
  * come again until a message shows them done, so none is lost with an answer.
  */
 final class Orders {
-  private final Stops stops;
+  private final StopRequests stopRequests;
   private final Tokens tokens;
   private final PendingReleases pendingReleases;
 
-  Orders(Stops stops, Tokens tokens, PendingReleases pendingReleases) {
-    this.stops = stops;
+  Orders(StopRequests stopRequests, Tokens tokens, PendingReleases pendingReleases) {
+    this.stopRequests = stopRequests;
     this.tokens = tokens;
     this.pendingReleases = pendingReleases;
   }
@@ -27,7 +27,7 @@
     for (Report.TaskReport item : latest.tasks()) {
       Ownership.Owned owner = owner(item, owned, latest.session());
       if (owner != null) {
-        Duration grace = stops.of(owner);
+        Duration grace = stopRequests.graceFor(owner);
         boolean running =
             item.state() == Report.State.FETCHING || item.state() == Report.State.RUNNING;
         boolean cutShort = item.state() == Report.State.SAVING && grace != null && grace.isZero();
@@ -45,7 +45,7 @@
       boolean here = item.attempt().session() == latest.session();
       if (here
           && item.entry().outcome() == null
-          && stops.of(item) == null
+          && stopRequests.graceFor(item) == null
           // An attempt that has ended must not run once more while its end waits to be written.
           && !pendingReleases.has(item)
           && machine.find(item.id(), item.attempt().number()) == null) {
--- a/src/main/java/io/cherryspool/controller/ReleaseEvidence.java
+++ b/src/main/java/io/cherryspool/controller/ReleaseEvidence.java
@@ -14,13 +14,13 @@
 final class ReleaseEvidence {
   private final Timings timings;
   private final Tokens tokens;
-  private final Stops stops;
+  private final StopRequests stopRequests;
   private final Duration termStart;
 
-  ReleaseEvidence(Timings timings, Tokens tokens, Stops stops, Duration termStart) {
+  ReleaseEvidence(Timings timings, Tokens tokens, StopRequests stopRequests, Duration termStart) {
     this.timings = timings;
     this.tokens = tokens;
-    this.stops = stops;
+    this.stopRequests = stopRequests;
     this.termStart = termStart;
   }
 
@@ -82,7 +82,8 @@
 
   /** Absence proves something only of a task that will not be started again. */
   private Verdict absent(Ownership.Owned owned, MachineState machine) {
-    if (stops.of(owned) == null || machine.latest.session() != owned.attempt().session()) {
+    if (stopRequests.graceFor(owned) == null
+        || machine.latest.session() != owned.attempt().session()) {
       return Verdict.OWNED;
     }
     Order start = Order.start(owned.id(), owned.attempt().number());
--- a/src/main/java/io/cherryspool/controller/RoundView.java
+++ b/src/main/java/io/cherryspool/controller/RoundView.java
@@ -37,7 +37,7 @@
   private final Fleet fleet;
   private final Ownership ownership;
   private final PendingReleases pendingReleases;
-  private final Stops stops;
+  private final StopRequests stopRequests;
   private final CrashLoopBackoff backoff;
   private final Tokens tokens;
   private final Duration silence;
@@ -61,7 +61,7 @@
     this.fleet = fleet;
     this.ownership = ledger.ownership();
     this.pendingReleases = ledger.pendingReleases();
-    this.stops = ledger.stops();
+    this.stopRequests = ledger.stopRequests();
     this.backoff = ledger.backoff();
     this.tokens = tokens;
     this.silence = silence;
@@ -195,7 +195,10 @@
         free = free.minus(job.perTask());
         running.add(
             new ClusterView.RunningTask(
-                owned.id(), job, machine.runningSince.get(owned.id()), stops.of(owned) != null));
+                owned.id(),
+                job,
+                machine.runningSince.get(owned.id()),
+                stopRequests.graceFor(owned) != null));
       }
     }
     return new ClusterView.MachineView(
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -111,7 +111,7 @@
   record Ledger(
       Ownership ownership,
       PendingReleases pendingReleases,
-      Stops stops,
+      StopRequests stopRequests,
       CrashLoopBackoff backoff) {}
 
   /** A round's sizes and times, from the settings. */
@@ -371,7 +371,7 @@
       Attempt attempt = entry.shard(entry.shardOf(number)).shard().owner(number);
       if (attempt != null) {
         stopped.merge(stop.task().job(), 1, Integer::sum);
-        ledger.stops().add(stop.task(), attempt.number(), stop.grace());
+        ledger.stopRequests().add(stop.task(), attempt.number(), stop.grace());
         machineTouched(attempt.machine());
       }
     }
--- a/src/test/java/io/cherryspool/controller/FenceTest.java
+++ b/src/test/java/io/cherryspool/controller/FenceTest.java
@@ -32,9 +32,10 @@
           Duration.ofSeconds(2),
           Duration.ofSeconds(5));
   private final Tokens tokens = new Tokens(5);
-  private final Stops stops = new Stops();
-  private final ReleaseEvidence evidence = new ReleaseEvidence(timings, tokens, stops, START);
-  private final Orders orders = new Orders(stops, tokens, new PendingReleases());
+  private final StopRequests stopRequests = new StopRequests();
+  private final ReleaseEvidence evidence =
+      new ReleaseEvidence(timings, tokens, stopRequests, START);
+  private final Orders orders = new Orders(stopRequests, tokens, new PendingReleases());
   private final MachineState machine = new MachineState("host-1", "box", "a", false, START);
   private final Job job = JobFixture.job("req-000001", Priority.NORMAL, 1, 1);
   private final Ownership.Owned owned =
@@ -57,7 +58,7 @@
 
   @Test
   void absenceProvesNothingWhileAStartMayStillRun() {
-    stops.add(TASK, 1, Duration.ZERO);
+    stopRequests.add(TASK, 1, Duration.ZERO);
     hears(3, tokens.base() - 1, null, null);
     assertEquals(
         ReleaseEvidence.Verdict.NEEDS_FENCE, at(2), "an earlier leader's start is not fenced yet");
