Rename Strays to RedirectedWorkers, and the metric with it

cherryspool_workers_stray is now cherryspool_workers_redirected. The mesh sends fields by position, so that nodes of both builds understand one another.

--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -56,7 +56,7 @@
   private final Map<String, Team> teams = new HashMap<>();
   private final Peers peers = new Peers();
   private final Meters meters;
-  private final Strays strays = new Strays();
+  private final RedirectedWorkers redirectedWorkers = new RedirectedWorkers();
   private final LeadershipTransfer transfer;
   private final StateClient state;
   private final Budget budget;
@@ -136,7 +136,7 @@
     Gauge.builder(
             "cherryspool.machines.lost", () -> leaderTerm == null ? 0 : leaderTerm.reach().lost())
         .register(given.registry());
-    Gauge.builder("cherryspool.workers.stray", () -> strays.count(loop.now()))
+    Gauge.builder("cherryspool.workers.redirected", () -> redirectedWorkers.count(loop.now()))
         .register(given.registry());
     Gauge.builder("cherryspool.changes.waiting", commits::waiting).register(given.registry());
     Gauge.builder("cherryspool.changes.left", budget::left).register(given.registry());
@@ -190,7 +190,12 @@
     int silence = read == null ? Integer.MAX_VALUE : (int) now.minus(read).toMillis();
     mesh.tell(
         new Mesh.Word(
-            settings.name(), replica.term(), reachesState(), silence, strays.count(now), writes));
+            settings.name(),
+            replica.term(),
+            reachesState(),
+            silence,
+            redirectedWorkers.count(now),
+            writes));
     budget.others(
         peers.since(timings.stateLease(), now).stream().mapToInt(Mesh.Word::writes).toArray());
     transfer.tick(now, leads());
@@ -350,7 +355,7 @@
     Records.Leader leader = replica.leader();
     boolean other = leader != null && !leader.node().equals(settings.name()) && reachesState();
     if (other) {
-      strays.note(report.machine(), loop.now());
+      redirectedWorkers.note(report.machine(), loop.now());
     }
     meters.redirected.increment();
     return Reply.json(421, WorkerWire.redirect(other ? leader.node() : null));
--- a/src/main/java/io/cherryspool/controller/LeadershipTransfer.java
+++ b/src/main/java/io/cherryspool/controller/LeadershipTransfer.java
@@ -74,13 +74,13 @@
       return reach.lost() * 2 >= reach.known() && peers.known() ? ANYBODY : null;
     }
     Mesh.Word best = null;
-    int strays = 0;
+    int redirectedWorkers = 0;
     for (Mesh.Word word : words) {
-      if (word.state() && word.strays() > 0) {
-        strays += word.strays();
-        best = best == null || word.strays() > best.strays() ? word : best;
+      if (word.state() && word.redirectedWorkers() > 0) {
+        redirectedWorkers += word.redirectedWorkers();
+        best = best == null || word.redirectedWorkers() > best.redirectedWorkers() ? word : best;
       }
     }
-    return strays * 2 >= reach.lost() && best != null ? best.node() : null;
+    return redirectedWorkers * 2 >= reach.lost() && best != null ? best.node() : null;
   }
 }
--- a/src/main/java/io/cherryspool/controller/Strays.java
+++ b/src/main/java/io/cherryspool/controller/RedirectedWorkers.java
@@ -9,7 +9,7 @@
  * Counts the workers that come to this node although another leads. Each comes once when it is sent
  * on; one that does not reach the leader comes again and again, since it tries the nodes in turn.
  */
-final class Strays {
+final class RedirectedWorkers {
   /**
    * A worker waits 4 s for the leader, 1 s before it tries the next node, and half a second more.
    */
--- a/src/main/java/io/cherryspool/mesh/Mesh.java
+++ b/src/main/java/io/cherryspool/mesh/Mesh.java
@@ -10,10 +10,12 @@
    * @param term the highest term it knows
    * @param state whether it reaches the state service
    * @param silence how long ago it sent its last reading of the state that succeeded, in ms
-   * @param strays how many workers have lately come to it although it told them who leads
+   * @param redirectedWorkers how many workers have lately come to it although it told them who
+   *     leads
    * @param writes how many changes of records it has lately made, in tenths for a second
    */
-  record Word(String node, long term, boolean state, int silence, int strays, int writes) {}
+  record Word(
+      String node, long term, boolean state, int silence, int redirectedWorkers, int writes) {}
 
   void tell(Word word);
 }
--- a/src/main/java/io/cherryspool/mesh/NettyMesh.java
+++ b/src/main/java/io/cherryspool/mesh/NettyMesh.java
@@ -142,7 +142,7 @@
       packer.packLong(word.term());
       packer.packBoolean(word.state());
       packer.packInt(word.silence());
-      packer.packInt(word.strays());
+      packer.packInt(word.redirectedWorkers());
       packer.packInt(word.writes());
       return packer.toByteArray();
     } catch (IOException e) {
--- a/src/test/java/io/cherryspool/controller/LeadershipTransferTest.java
+++ b/src/test/java/io/cherryspool/controller/LeadershipTransferTest.java
@@ -38,8 +38,8 @@
     return transfer.successor(new LeaderTerm.Reach(known, lost), now);
   }
 
-  private static Mesh.Word says(String node, boolean state, int strays) {
-    return new Mesh.Word(node, 7, state, 0, strays, 0);
+  private static Mesh.Word says(String node, boolean state, int redirectedWorkers) {
+    return new Mesh.Word(node, 7, state, 0, redirectedWorkers, 0);
   }
 
   @Test
@@ -95,12 +95,12 @@
 
   @Test
   void aWorkerCountsAsStrayWhileItKeepsComing() {
-    Strays strays = new Strays();
-    strays.note("host-1", START);
-    strays.note("host-2", START.plusSeconds(5));
-    strays.note("host-1", START.plusSeconds(6));
-    assertEquals(2, strays.count(START.plusSeconds(6)));
-    assertEquals(1, strays.count(START.plusSeconds(12)));
-    assertEquals(0, strays.count(START.plusSeconds(60)));
+    RedirectedWorkers redirectedWorkers = new RedirectedWorkers();
+    redirectedWorkers.note("host-1", START);
+    redirectedWorkers.note("host-2", START.plusSeconds(5));
+    redirectedWorkers.note("host-1", START.plusSeconds(6));
+    assertEquals(2, redirectedWorkers.count(START.plusSeconds(6)));
+    assertEquals(1, redirectedWorkers.count(START.plusSeconds(12)));
+    assertEquals(0, redirectedWorkers.count(START.plusSeconds(60)));
   }
 }
