--- a/src/main/java/io/cherryspool/controller/LeaderTerm.java
+++ b/src/main/java/io/cherryspool/controller/LeaderTerm.java
@@ -57,7 +57,7 @@
   private final PendingReleases pendingReleases = new PendingReleases();
   private final StopRequests stopRequests = new StopRequests();
   private final CrashLoopBackoff backoff = new CrashLoopBackoff();
-  private final Orders orders;
+  private final WorkerCommands workerCommands;
   private final Pusher pusher;
   private final Workload workload;
   private final Rounds rounds;
@@ -97,7 +97,7 @@
     this.started = loop.now();
     this.tokens = new Tokens(term);
     this.ownership = new Ownership(replica);
-    this.orders = new Orders(stopRequests, tokens, pendingReleases);
+    this.workerCommands = new WorkerCommands(stopRequests, tokens, pendingReleases);
     this.pusher = new Pusher(loop, workers, tokens, timings.workerCall(), this::pushed);
     this.workload = new Workload(replica, pendingReleases, backoff, cluster.wall());
     ReleaseEvidence evidence = new ReleaseEvidence(timings, tokens, stopRequests, started);
@@ -240,7 +240,7 @@
     rounds.request();
   }
 
-  /** Answers a report with the current token and the committed orders. */
+  /** Answers a report with the current token and the committed commands. */
   byte[] report(Report report) {
     ingest(report);
     MachineState machine = fleet.get(report.machine());
@@ -252,7 +252,7 @@
         || report.session() != machine.latest.session()) {
       return WorkerWire.reply(token, List.of());
     }
-    List<Order> list = orders.of(machine, ownership.on(machine.name));
+    List<Order> list = workerCommands.dueFor(machine, ownership.on(machine.name));
     Pusher.noteStarts(machine, list, token);
     machine.told.clear();
     list.forEach(order -> machine.told.put(order, loop.now()));
@@ -268,7 +268,7 @@
     touched(machine.name);
   }
 
-  /** Something of the machine has changed that may prove an end or ask for an order. */
+  /** Something of the machine has changed that may prove an end or ask for a command. */
   private void touched(String machine) {
     rounds.machineTouched(machine);
     ordered.add(machine);
@@ -328,7 +328,7 @@
       if (machine == null || machine.gone) {
         names.remove();
       } else if (machine.latest != null && machine.underWay == 0) {
-        List<Order> due = orders.of(machine, ownership.on(machine.name));
+        List<Order> due = workerCommands.dueFor(machine, ownership.on(machine.name));
         due.removeIf(order -> order.verb() == Order.Verb.FORGET);
         if (due.isEmpty()) {
           names.remove();
@@ -455,7 +455,7 @@
 
   private void fence(MachineState machine) {
     if (machine.latest != null && machine.latest.token() < tokens.current()) {
-      pusher.push(machine, orders.of(machine, ownership.on(machine.name)));
+      pusher.push(machine, workerCommands.dueFor(machine, ownership.on(machine.name)));
     }
   }
 }
--- a/src/main/java/io/cherryspool/controller/Orders.java
+++ b/src/main/java/io/cherryspool/controller/WorkerCommands.java
@@ -7,23 +7,23 @@
 import java.util.List;
 
 /**
- * What a worker is to do, from the committed records and its newest message alone. The same orders
- * come again until a message shows them done, so none is lost with an answer.
+ * What a worker is to do, from the committed records and its newest message alone. The same
+ * commands come again until a message shows them done, so none is lost with an answer.
  */
-final class Orders {
+final class WorkerCommands {
   private final StopRequests stopRequests;
   private final Tokens tokens;
   private final PendingReleases pendingReleases;
 
-  Orders(StopRequests stopRequests, Tokens tokens, PendingReleases pendingReleases) {
+  WorkerCommands(StopRequests stopRequests, Tokens tokens, PendingReleases pendingReleases) {
     this.stopRequests = stopRequests;
     this.tokens = tokens;
     this.pendingReleases = pendingReleases;
   }
 
-  List<Order> of(MachineState machine, List<Ownership.Owned> owned) {
+  List<Order> dueFor(MachineState machine, List<Ownership.Owned> owned) {
     Report latest = machine.latest;
-    List<Order> orders = new ArrayList<>();
+    List<Order> commands = new ArrayList<>();
     for (Report.TaskReport item : latest.tasks()) {
       Ownership.Owned owner = owner(item, owned, latest.session());
       if (owner != null) {
@@ -32,13 +32,13 @@
             item.state() == Report.State.FETCHING || item.state() == Report.State.RUNNING;
         boolean cutShort = item.state() == Report.State.SAVING && grace != null && grace.isZero();
         if (grace != null && (running || cutShort)) {
-          orders.add(Order.stop(item.task(), item.attempt(), grace));
+          commands.add(Order.stop(item.task(), item.attempt(), grace));
         }
       } else if (item.state() != Report.State.EXITED) {
         // The records give this task to nobody, or to another attempt: nobody may run it here.
-        orders.add(Order.stop(item.task(), item.attempt(), Duration.ZERO));
+        commands.add(Order.stop(item.task(), item.attempt(), Duration.ZERO));
       } else if (latest.token() > tokens.base() && machine.settled()) {
-        orders.add(Order.forget(item.task(), item.attempt()));
+        commands.add(Order.forget(item.task(), item.attempt()));
       }
     }
     for (Ownership.Owned item : owned) {
@@ -49,10 +49,10 @@
           // An attempt that has ended must not run once more while its end waits to be written.
           && !pendingReleases.has(item)
           && machine.find(item.id(), item.attempt().number()) == null) {
-        orders.add(Order.start(item.id(), item.attempt().number()));
+        commands.add(Order.start(item.id(), item.attempt().number()));
       }
     }
-    return orders;
+    return commands;
   }
 
   private static Ownership.Owned owner(
--- a/src/test/java/io/cherryspool/controller/FenceTest.java
+++ b/src/test/java/io/cherryspool/controller/FenceTest.java
@@ -35,7 +35,8 @@
   private final StopRequests stopRequests = new StopRequests();
   private final ReleaseEvidence evidence =
       new ReleaseEvidence(timings, tokens, stopRequests, START);
-  private final Orders orders = new Orders(stopRequests, tokens, new PendingReleases());
+  private final WorkerCommands workerCommands =
+      new WorkerCommands(stopRequests, tokens, new PendingReleases());
   private final MachineState machine = new MachineState("host-1", "box", "a", false, START);
   private final Job job = JobFixture.job("req-000001", Priority.NORMAL, 1, 1);
   private final Ownership.Owned owned =
@@ -76,7 +77,7 @@
   void absenceProvesNothingOfATaskThatIsStillWanted() {
     hears(3, tokens.current(), null, null);
     assertEquals(ReleaseEvidence.Verdict.OWNED, at(2));
-    assertEquals(List.of(Order.start(TASK, 1)), orders.of(machine, List.of(owned)));
+    assertEquals(List.of(Order.start(TASK, 1)), workerCommands.dueFor(machine, List.of(owned)));
   }
 
   /** After it is forgotten, a start that is still under way would run the attempt once more. */
@@ -85,11 +86,11 @@
     machine.unanswered = tokens.current();
     hears(3, tokens.current(), Report.State.EXITED, Report.Cause.ERROR);
     assertEquals(ReleaseEvidence.Verdict.NEEDS_FENCE, at(2));
-    assertEquals(List.of(), orders.of(machine, List.of()), "not forgotten either");
+    assertEquals(List.of(), workerCommands.dueFor(machine, List.of()), "not forgotten either");
     tokens.next();
     hears(3, tokens.current(), Report.State.EXITED, Report.Cause.ERROR);
     assertEquals(ReleaseEvidence.Verdict.FAILED, at(2));
-    assertEquals(List.of(Order.forget(TASK, 1)), orders.of(machine, List.of()));
+    assertEquals(List.of(Order.forget(TASK, 1)), workerCommands.dueFor(machine, List.of()));
   }
 
   @Test
@@ -149,6 +150,7 @@
   @Test
   void aTaskThatTheRecordsGiveToNobodyIsStopped() {
     hears(3, tokens.current(), Report.State.RUNNING, null);
-    assertEquals(List.of(Order.stop(TASK, 1, Duration.ZERO)), orders.of(machine, List.of()));
+    assertEquals(
+        List.of(Order.stop(TASK, 1, Duration.ZERO)), workerCommands.dueFor(machine, List.of()));
   }
 }
