--- a/src/main/java/io/cherryspool/controller/Pusher.java
+++ b/src/main/java/io/cherryspool/controller/CommandSender.java
@@ -9,11 +9,11 @@
 import java.util.function.BiConsumer;
 
 /**
- * Sends committed orders straight to workers, so that a start need not wait for the next report.
+ * Sends committed commands straight to workers, so that a start need not wait for the next report.
  * One call at a time goes to a machine. A call without an answer may still run later, so the token
  * is raised at once and the machine counts as unsettled until it has acknowledged the higher one.
  */
-final class Pusher {
+final class CommandSender {
   private final EventLoop loop;
   private final WorkerClient workers;
   private final Tokens tokens;
@@ -23,7 +23,7 @@
   /**
    * @param sink takes each answer, or null where there was none
    */
-  Pusher(
+  CommandSender(
       EventLoop loop,
       WorkerClient workers,
       Tokens tokens,
@@ -36,36 +36,36 @@
     this.sink = sink;
   }
 
-  /** Sends the orders; with none, the call still makes the worker take the current token. */
-  void push(MachineState machine, List<Order> orders) {
+  /** Sends the commands; with none, the call still makes the worker take the current token. */
+  void send(MachineState machine, List<Order> commands) {
     if (machine.latest == null
         || machine.endpoint == null
         || machine.gone
         || machine.underWay != 0
-        || loop.now().compareTo(machine.pushAgain) < 0) {
+        || loop.now().compareTo(machine.sendAgainAt) < 0) {
       return;
     }
     long token = tokens.current();
     machine.underWay = token;
-    noteStarts(machine, orders, token);
+    noteStarts(machine, commands, token);
     workers
-        .commands(machine.endpoint, token, machine.latest.session(), orders)
+        .commands(machine.endpoint, token, machine.latest.session(), commands)
         .whenComplete(
             (report, failure) -> {
               machine.underWay = 0;
               if (failure != null) {
                 machine.unanswered = Math.max(machine.unanswered, token);
-                machine.pushAgain = loop.now().plus(pause);
+                machine.sendAgainAt = loop.now().plus(pause);
                 tokens.next();
               }
               sink.accept(machine, failure == null ? report : null);
             });
   }
 
-  static void noteStarts(MachineState machine, List<Order> orders, long token) {
-    for (Order order : orders) {
-      if (order.verb() == Order.Verb.START) {
-        machine.started.put(order, token);
+  static void noteStarts(MachineState machine, List<Order> commands, long token) {
+    for (Order command : commands) {
+      if (command.verb() == Order.Verb.START) {
+        machine.started.put(command, token);
       }
     }
   }
--- a/src/main/java/io/cherryspool/controller/LeaderTerm.java
+++ b/src/main/java/io/cherryspool/controller/LeaderTerm.java
@@ -58,7 +58,7 @@
   private final StopRequests stopRequests = new StopRequests();
   private final CrashLoopBackoff backoff = new CrashLoopBackoff();
   private final WorkerCommands workerCommands;
-  private final Pusher pusher;
+  private final CommandSender commandSender;
   private final Workload workload;
   private final Rounds rounds;
   private final Rental rental;
@@ -98,7 +98,8 @@
     this.tokens = new Tokens(term);
     this.ownership = new Ownership(replica);
     this.workerCommands = new WorkerCommands(stopRequests, tokens, pendingReleases);
-    this.pusher = new Pusher(loop, workers, tokens, timings.workerCall(), this::pushed);
+    this.commandSender =
+        new CommandSender(loop, workers, tokens, timings.workerCall(), this::commandAnswered);
     this.workload = new Workload(replica, pendingReleases, backoff, cluster.wall());
     ReleaseEvidence evidence = new ReleaseEvidence(timings, tokens, stopRequests, started);
     this.rounds =
@@ -116,7 +117,7 @@
             cluster.wall(),
             workload,
             cluster.meters(),
-            this::pushAll);
+            this::sendDueCommands);
     this.rental =
         new Rental(
             loop,
@@ -253,14 +254,14 @@
       return WorkerWire.reply(token, List.of());
     }
     List<Order> list = workerCommands.dueFor(machine, ownership.on(machine.name));
-    Pusher.noteStarts(machine, list, token);
+    CommandSender.noteStarts(machine, list, token);
     machine.told.clear();
     list.forEach(order -> machine.told.put(order, loop.now()));
     return WorkerWire.reply(token, list);
   }
 
   /** The answer to a direct call, or word that there was none. */
-  private void pushed(MachineState machine, Report report) {
+  private void commandAnswered(MachineState machine, Report report) {
     if (report != null) {
       ingest(report);
     }
@@ -314,11 +315,11 @@
         rounds.machineTouched(machine.name);
       }
     }
-    pushAll();
+    sendDueCommands();
   }
 
   /** Sends what is due to the machines that something has changed for. */
-  private void pushAll() {
+  private void sendDueCommands() {
     if (stopped || !authority.acts().getAsBoolean()) {
       return;
     }
@@ -340,7 +341,7 @@
               return told != null && now.minus(told).compareTo(TOLD) < 0;
             });
         if (!due.isEmpty()) {
-          pusher.push(machine, due);
+          commandSender.send(machine, due);
         }
       }
     }
@@ -355,7 +356,7 @@
     } else {
       checkRebuilt();
     }
-    pushAll();
+    sendDueCommands();
   }
 
   /**
@@ -455,7 +456,7 @@
 
   private void fence(MachineState machine) {
     if (machine.latest != null && machine.latest.token() < tokens.current()) {
-      pusher.push(machine, workerCommands.dueFor(machine, ownership.on(machine.name)));
+      commandSender.send(machine, workerCommands.dueFor(machine, ownership.on(machine.name)));
     }
   }
 }
--- a/src/main/java/io/cherryspool/controller/MachineState.java
+++ b/src/main/java/io/cherryspool/controller/MachineState.java
@@ -65,7 +65,7 @@
   /** The token of the direct command under way, 0 if none is. */
   long underWay;
 
-  Duration pushAgain = Duration.ZERO;
+  Duration sendAgainAt = Duration.ZERO;
 
   /** The highest token under which each start was sent. */
   final Map<Order, Long> started = new HashMap<>();
