--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -255,7 +255,8 @@
             operators.failureCap(),
             maxChanges,
             settings.deadlineTimes()),
-        new LeaderTerm.RentalLimits(settings.cloudRps(), settings.listLag(), operators.idleKeep()),
+        new LeaderTerm.ProvisioningLimits(
+            settings.cloudRps(), settings.listLag(), operators.idleKeep()),
         new LeaderTerm.Cluster(
             new LeaderTerm.Authority(election::authorized, election::sole),
             teams,
--- a/src/main/java/io/cherryspool/controller/LeaderTerm.java
+++ b/src/main/java/io/cherryspool/controller/LeaderTerm.java
@@ -61,7 +61,7 @@
   private final CommandSender commandSender;
   private final Workload workload;
   private final Rounds rounds;
-  private final Rental rental;
+  private final Provisioner provisioner;
   private final LongConsumer higherTerm;
   private final Authority authority;
   private final Duration started;
@@ -82,7 +82,7 @@
       CloudClient cloud,
       RoundWriter writer,
       Rounds.Limits limits,
-      RentalLimits rentalLimits,
+      ProvisioningLimits provisioningLimits,
       Cluster cluster,
       Timings timings,
       long term,
@@ -118,8 +118,8 @@
             workload,
             cluster.meters(),
             this::sendDueCommands);
-    this.rental =
-        new Rental(
+    this.provisioner =
+        new Provisioner(
             loop,
             cloud,
             fleet,
@@ -128,9 +128,9 @@
             workload,
             cluster.catalog(),
             timings,
-            rentalLimits.cloudRps(),
-            rentalLimits.listLag(),
-            rentalLimits.idleKeep(),
+            provisioningLimits.cloudRps(),
+            provisioningLimits.listLag(),
+            provisioningLimits.idleKeep(),
             "cs-" + term + "-",
             cluster.authority().sole(),
             this::inspectListed);
@@ -185,14 +185,14 @@
   record Authority(BooleanSupplier acts, BooleanSupplier sole) {}
 
   /** The cloud's limits and how long idle machines are kept. */
-  record RentalLimits(double cloudRps, Duration listLag, Duration idleKeep) {}
+  record ProvisioningLimits(double cloudRps, Duration listLag, Duration idleKeep) {}
 
   @Override
   public void start() {
     LOG.info("leading in term {}; rebuilding ownership", term);
     ownership.start();
     rounds.start();
-    rental.start();
+    provisioner.start();
     tick();
   }
 
@@ -202,7 +202,7 @@
     LOG.info("no longer leading in term {}", term);
     ownership.stop();
     rounds.stop();
-    rental.stop();
+    provisioner.stop();
     timer.cancel();
   }
 
--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Provisioner.java
@@ -20,12 +20,12 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** The leader's dealings with the cloud: lists, rents and returns machines, one call at a time. */
-final class Rental implements Lifecycle {
+/** Provisions machines for the leader: lists, rents and returns them, one call at a time. */
+final class Provisioner implements Lifecycle {
   /** A machine on which so many tasks in a row failed is not used again. */
   static final int SICK = 3;
 
-  private static final Logger LOG = LoggerFactory.getLogger(Rental.class);
+  private static final Logger LOG = LoggerFactory.getLogger(Provisioner.class);
   private static final int MOST_PER_REQUEST = 50;
   private static final int MOST_PER_DELETE = 100;
   private static final Duration STANDSTILL = Duration.ofMillis(1500);
@@ -64,7 +64,7 @@
   /** A rental whose answer is not known; it goes again under the same name. */
   private record Request(String name, FleetPlan.Offer offer, int count) {}
 
-  Rental(
+  Provisioner(
       EventLoop loop,
       CloudClient cloud,
       Fleet fleet,
--- a/src/main/java/io/cherryspool/controller/RoundView.java
+++ b/src/main/java/io/cherryspool/controller/RoundView.java
@@ -180,7 +180,7 @@
         && !machine.mute
         && machine.unheeded == 0
         && machine.latest.notice() == null
-        && machine.failuresInARow < Rental.SICK
+        && machine.failuresInARow < Provisioner.SICK
         && now.minus(machine.heard).compareTo(silence) < 0
         && now.minus(machine.keptAlive()).compareTo(halfLease) < 0
         && machine.latest.token() > tokens.base();
--- a/src/test/java/io/cherryspool/controller/CutZoneTest.java
+++ b/src/test/java/io/cherryspool/controller/CutZoneTest.java
@@ -29,7 +29,7 @@
   }
 
   private Set<String> cutAt(double second) {
-    return Rental.cutZones(fleet, listed, Duration.ofMillis((long) (second * 1000)), LATE);
+    return Provisioner.cutZones(fleet, listed, Duration.ofMillis((long) (second * 1000)), LATE);
   }
 
   @Test
@@ -52,7 +52,7 @@
     }
     Duration late = report.multipliedBy(5).dividedBy(4).plusMillis(250);
     Duration first = Duration.ofSeconds(100).plus(report.multipliedBy(2));
-    assertEquals(Set.of("a"), Rental.cutZones(fleet, listed, first, late));
+    assertEquals(Set.of("a"), Provisioner.cutZones(fleet, listed, first, late));
   }
 
   @Test
