--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -3,12 +3,12 @@
 import io.cherryspool.cloud.CloudClient;
 import io.cherryspool.config.OperatorSettings;
 import io.cherryspool.config.Settings;
-import io.cherryspool.duty.Duty;
-import io.cherryspool.duty.EventLoop;
 import io.cherryspool.http.Handler;
 import io.cherryspool.http.Reply;
 import io.cherryspool.http.Request;
 import io.cherryspool.http.Transport;
+import io.cherryspool.lifecycle.EventLoop;
+import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.mesh.Mesh;
 import io.cherryspool.model.Durations;
 import io.cherryspool.model.Report;
@@ -42,7 +42,7 @@
  * One controller node: answers requests, takes part in elections, and leads while it is elected. It
  * knows sockets, clocks and chance only through what it is given.
  */
-public final class Controller implements Duty, Handler, MeterBinder {
+public final class Controller implements Lifecycle, Handler, MeterBinder {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
   private static final String JOBS = "/api/jobs";
   private static final String CANCEL = "/withdraw";
@@ -58,7 +58,7 @@
   private final Map<String, Team> teams = new HashMap<>();
   private final Peers peers = new Peers();
   private final Meters meters = new Meters();
-  private final Strays strays = new Strays();
+  private final RedirectedWorkers redirectedWorkers = new RedirectedWorkers();
   private final LeadershipTransfer transfer;
   private final StateClient state;
   private final Budget budget;
@@ -140,7 +140,8 @@
     Gauge.builder(
             "cherryspool.machines.lost", () -> leaderTerm == null ? 0 : leaderTerm.reach().lost())
         .register(registry);
-    Gauge.builder("cherryspool.workers.stray", () -> strays.count(loop.now())).register(registry);
+    Gauge.builder("cherryspool.workers.redirected", () -> redirectedWorkers.count(loop.now()))
+        .register(registry);
     Gauge.builder("cherryspool.changes.waiting", commits::waiting).register(registry);
     Gauge.builder("cherryspool.changes.left", budget::left).register(registry);
   }
@@ -193,7 +194,12 @@
     int silence = read == null ? Integer.MAX_VALUE : (int) now.minus(read).toMillis();
     mesh.tell(
         new Mesh.Word(
-            settings.name(), replica.term(), reachesState(), silence, strays.count(now), writes));
+            settings.name(),
+            replica.term(),
+            reachesState(),
+            silence,
+            redirectedWorkers.count(now),
+            writes));
     budget.others(
         peers.since(timings.stateLease(), now).stream().mapToInt(Mesh.Word::writes).toArray());
     transfer.tick(now, leads());
@@ -253,7 +259,8 @@
             operators.failureCap(),
             maxChanges,
             settings.deadlineTimes()),
-        new LeaderTerm.RentalLimits(settings.cloudRps(), settings.listLag(), operators.idleKeep()),
+        new LeaderTerm.ProvisioningLimits(
+            settings.cloudRps(), settings.listLag(), operators.idleKeep()),
         new LeaderTerm.Cluster(
             new LeaderTerm.Authority(election::authorized, election::sole),
             teams,
@@ -353,7 +360,7 @@
     Records.Leader leader = replica.leader();
     boolean other = leader != null && !leader.node().equals(settings.name()) && reachesState();
     if (other) {
-      strays.note(report.machine(), loop.now());
+      redirectedWorkers.note(report.machine(), loop.now());
     }
     meters.redirected.increment();
     return Reply.json(421, WorkerWire.redirect(other ? leader.node() : null));
--- a/src/main/java/io/cherryspool/controller/LeaderTerm.java
+++ b/src/main/java/io/cherryspool/controller/LeaderTerm.java
@@ -1,8 +1,8 @@
 package io.cherryspool.controller;
 
 import io.cherryspool.cloud.CloudClient;
-import io.cherryspool.duty.Duty;
-import io.cherryspool.duty.EventLoop;
+import io.cherryspool.lifecycle.EventLoop;
+import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.model.Durations;
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Order;
@@ -32,7 +32,7 @@
  * One term of this node as leader: rebuilds ownership, then runs rounds, until it is stopped. All
  * its memory goes with it; the next leader starts from the records and the workers' reports.
  */
-final class LeaderTerm implements Duty {
+final class LeaderTerm implements Lifecycle {
   private static final Logger LOG = LoggerFactory.getLogger(LeaderTerm.class);
 
   /** Calls that ask machines for their state at a time; each holds a socket. */
@@ -55,14 +55,14 @@
   private final long term;
   private final Fleet fleet = new Fleet();
   private final Ownership ownership;
-  private final Proofs proofs = new Proofs();
-  private final Stops stops = new Stops();
+  private final PendingReleases pendingReleases = new PendingReleases();
+  private final StopRequests stopRequests = new StopRequests();
   private final CrashLoopBackoff backoff = new CrashLoopBackoff();
-  private final Orders orders;
-  private final Pusher pusher;
+  private final WorkerCommands workerCommands;
+  private final CommandSender commandSender;
   private final Workload workload;
   private final Rounds rounds;
-  private final Rental rental;
+  private final Provisioner provisioner;
   private final LongConsumer higherTerm;
   private final Authority authority;
   private final Duration started;
@@ -83,7 +83,7 @@
       CloudClient cloud,
       RoundWriter writer,
       Rounds.Limits limits,
-      RentalLimits rentalLimits,
+      ProvisioningLimits provisioningLimits,
       Cluster cluster,
       Timings timings,
       long term,
@@ -98,18 +98,19 @@
     this.started = loop.now();
     this.tokens = new Tokens(term);
     this.ownership = new Ownership(replica);
-    this.orders = new Orders(stops, tokens, proofs);
-    this.pusher = new Pusher(loop, workers, tokens, timings.workerCall(), this::pushed);
-    this.workload = new Workload(replica, proofs, backoff, cluster.wall());
-    Judge judge = new Judge(timings, tokens, stops, started);
+    this.workerCommands = new WorkerCommands(stopRequests, tokens, pendingReleases);
+    this.commandSender =
+        new CommandSender(loop, workers, tokens, timings.workerCall(), this::commandAnswered);
+    this.workload = new Workload(replica, pendingReleases, backoff, cluster.wall());
+    ReleaseEvidence evidence = new ReleaseEvidence(timings, tokens, stopRequests, started);
     this.rounds =
         new Rounds(
             loop,
             replica,
             writer,
             fleet,
-            judge,
-            new Rounds.Ledger(ownership, proofs, stops, backoff),
+            evidence,
+            new Rounds.Ledger(ownership, pendingReleases, stopRequests, backoff),
             tokens,
             cluster.teams(),
             cluster.catalog(),
@@ -117,9 +118,9 @@
             cluster.wall(),
             workload,
             cluster.meters(),
-            this::pushAll);
-    this.rental =
-        new Rental(
+            this::sendDueCommands);
+    this.provisioner =
+        new Provisioner(
             loop,
             cloud,
             fleet,
@@ -128,9 +129,9 @@
             workload,
             cluster.catalog(),
             timings,
-            rentalLimits.cloudRps(),
-            rentalLimits.listLag(),
-            rentalLimits.idleKeep(),
+            provisioningLimits.cloudRps(),
+            provisioningLimits.listLag(),
+            provisioningLimits.idleKeep(),
             "cs-" + term + "-",
             cluster.authority().sole(),
             this::inspectListed);
@@ -157,8 +158,8 @@
 
     @Override
     public void released(Ownership.Owned owned) {
-      proofs.drop(owned);
-      stops.drop(owned);
+      pendingReleases.drop(owned);
+      stopRequests.drop(owned);
       MachineState machine = fleet.get(owned.attempt().machine());
       if (machine != null) {
         machine.started.remove(Order.start(owned.id(), owned.attempt().number()));
@@ -185,14 +186,14 @@
   record Authority(BooleanSupplier acts, BooleanSupplier sole) {}
 
   /** The cloud's limits and how long idle machines are kept. */
-  record RentalLimits(double cloudRps, Duration listLag, Duration idleKeep) {}
+  record ProvisioningLimits(double cloudRps, Duration listLag, Duration idleKeep) {}
 
   @Override
   public void start() {
     LOG.info("leading in term {}; rebuilding ownership", term);
     ownership.start();
     rounds.start();
-    rental.start();
+    provisioner.start();
     tick();
   }
 
@@ -202,7 +203,7 @@
     LOG.info("no longer leading in term {}", term);
     ownership.stop();
     rounds.stop();
-    rental.stop();
+    provisioner.stop();
     timer.cancel();
   }
 
@@ -242,7 +243,7 @@
     rounds.request();
   }
 
-  /** Answers a report with the current token and the committed orders. */
+  /** Answers a report with the current token and the committed commands. */
   byte[] report(Report report) {
     ingest(report);
     MachineState machine = fleet.get(report.machine());
@@ -259,15 +260,15 @@
     if (!waits || report.session() != machine.latest.session()) {
       return WorkerWire.reply(token, List.of());
     }
-    List<Order> list = orders.of(machine, ownership.on(machine.name));
-    Pusher.noteStarts(machine, list, token);
+    List<Order> list = workerCommands.dueFor(machine, ownership.on(machine.name));
+    CommandSender.noteStarts(machine, list, token);
     machine.told.clear();
     list.forEach(order -> machine.told.put(order, loop.now()));
     return WorkerWire.reply(token, list);
   }
 
   /** The answer to a direct call, or word that there was none. */
-  private void pushed(MachineState machine, Report report) {
+  private void commandAnswered(MachineState machine, Report report) {
     if (report != null) {
       ingest(report);
     }
@@ -275,7 +276,7 @@
     touched(machine.name);
   }
 
-  /** Something of the machine has changed that may prove an end or ask for an order. */
+  /** Something of the machine has changed that may prove an end or ask for a command. */
   private void touched(String machine) {
     rounds.machineTouched(machine);
     ordered.add(machine);
@@ -315,15 +316,15 @@
       Duration save = owned.entry().job().save();
       boolean saves = !owned.entry().job().checkpoint().isZero();
       if (saves && save.compareTo(machine.latest.notice()) < 0) {
-        stops.add(owned.id(), owned.attempt().number(), machine.latest.notice());
+        stopRequests.add(owned.id(), owned.attempt().number(), machine.latest.notice());
         rounds.machineTouched(machine.name);
       }
     }
-    pushAll();
+    sendDueCommands();
   }
 
   /** Sends what is due to the machines that something has changed for. */
-  private void pushAll() {
+  private void sendDueCommands() {
     if (stopped || !authority.acts().getAsBoolean()) {
       return;
     }
@@ -333,7 +334,7 @@
       if (machine == null || machine.gone) {
         names.remove();
       } else if (machine.latest != null && machine.underWay == 0) {
-        List<Order> due = orders.of(machine, ownership.on(machine.name));
+        List<Order> due = workerCommands.dueFor(machine, ownership.on(machine.name));
         due.removeIf(order -> order.verb() == Order.Verb.FORGET);
         if (due.isEmpty()) {
           names.remove();
@@ -345,7 +346,7 @@
               return told != null && now.minus(told).compareTo(TOLD) < 0;
             });
         if (!due.isEmpty()) {
-          pusher.push(machine, due);
+          commandSender.send(machine, due);
         }
       }
     }
@@ -360,7 +361,7 @@
     } else {
       checkRebuilt();
     }
-    pushAll();
+    sendDueCommands();
   }
 
   /**
@@ -461,7 +462,7 @@
 
   private void fence(MachineState machine) {
     if (machine.latest != null && machine.latest.token() < tokens.current()) {
-      pusher.push(machine, orders.of(machine, ownership.on(machine.name)));
+      commandSender.send(machine, workerCommands.dueFor(machine, ownership.on(machine.name)));
     }
   }
 }
--- a/src/main/java/io/cherryspool/controller/Rental.java
+++ b/src/main/java/io/cherryspool/controller/Provisioner.java
@@ -1,8 +1,8 @@
 package io.cherryspool.controller;
 
 import io.cherryspool.cloud.CloudClient;
-import io.cherryspool.duty.Duty;
-import io.cherryspool.duty.EventLoop;
+import io.cherryspool.lifecycle.EventLoop;
+import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.model.Durations;
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Rented;
@@ -21,8 +21,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** The leader's dealings with the cloud: lists, rents and returns machines, one call at a time. */
-final class Rental implements Duty {
+/** Provisions machines for the leader: lists, rents and returns them, one call at a time. */
+final class Provisioner implements Lifecycle {
   /** A machine on which so many tasks in a row failed is not used again. */
   static final int SICK = 3;
 
@@ -32,7 +32,7 @@
   /** However long a step took, the next one comes after this. */
   private static final Duration MAX_PAUSE = Duration.ofSeconds(2);
 
-  private static final Logger LOG = LoggerFactory.getLogger(Rental.class);
+  private static final Logger LOG = LoggerFactory.getLogger(Provisioner.class);
   private static final int MOST_PER_REQUEST = 50;
   private static final int MOST_PER_DELETE = 100;
   private static final Duration STANDSTILL = Duration.ofMillis(1500);
@@ -72,7 +72,7 @@
   /** A rental whose answer is not known; it goes again under the same name. */
   private record Request(String name, FleetPlan.Offer offer, int count) {}
 
-  Rental(
+  Provisioner(
       EventLoop loop,
       CloudClient cloud,
       Fleet fleet,
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -1,7 +1,7 @@
 package io.cherryspool.controller;
 
-import io.cherryspool.duty.Duty;
-import io.cherryspool.duty.EventLoop;
+import io.cherryspool.lifecycle.EventLoop;
+import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.model.Attempt;
 import io.cherryspool.model.Durations;
 import io.cherryspool.model.MachineType;
@@ -28,7 +28,7 @@
  * of it. One round is under way at a time; an event starts the next after a short gathering, longer
  * where rounds cost more, and the round length is the longest that one waits.
  */
-final class Rounds implements Duty {
+final class Rounds implements Lifecycle {
   private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
   private static final Duration GATHER = Duration.ofMillis(40);
   private static final Duration SPENT = Duration.ofMillis(120);
@@ -36,7 +36,7 @@
   /** Rounds take at most about one part in so many of the processor. */
   private static final int COST_SHARE = 4;
 
-  /** How long a proof that nothing waits for may wait for other changes of its shard. */
+  /** How long a release that nothing waits for may wait for other changes of its shard. */
   private static final Duration LAZY = Duration.ofSeconds(4);
 
   /** And how long at most, however many writes there are; after so long users see the count old. */
@@ -46,7 +46,7 @@
   private final Replica replica;
   private final RoundWriter writer;
   private final Fleet fleet;
-  private final Judge judge;
+  private final ReleaseEvidence evidence;
   private final Ledger ledger;
   private final Tokens tokens;
   private final RoundView view;
@@ -73,7 +73,7 @@
       Replica replica,
       RoundWriter writer,
       Fleet fleet,
-      Judge judge,
+      ReleaseEvidence evidence,
       Ledger ledger,
       Tokens tokens,
       Map<String, Team> teams,
@@ -87,7 +87,7 @@
     this.replica = replica;
     this.writer = writer;
     this.fleet = fleet;
-    this.judge = judge;
+    this.evidence = evidence;
     this.ledger = ledger;
     this.tokens = tokens;
     this.teams = teams;
@@ -108,8 +108,12 @@
             limits.failureCap());
   }
 
-  /** What the leader knows of owned tasks: by the records, by proof, and by its own decision. */
-  record Ledger(Ownership ownership, Proofs proofs, Stops stops, CrashLoopBackoff backoff) {}
+  /** What the leader knows of owned tasks: by the records, by evidence, and by its own decision. */
+  record Ledger(
+      Ownership ownership,
+      PendingReleases pendingReleases,
+      StopRequests stopRequests,
+      CrashLoopBackoff backoff) {}
 
   /** A round's sizes and times, from the settings. */
   record Limits(
@@ -187,7 +191,7 @@
 
   /** The records were read anew. */
   void reloaded() {
-    ledger.proofs().clear();
+    ledger.pendingReleases().clear();
     view.clear();
     dirty.addAll(ledger.ownership().machines());
   }
@@ -226,7 +230,7 @@
     wanted = false;
     lastRun = loop.now();
     takeIn();
-    RoundEdits edits = new RoundEdits(ledger.proofs(), limits.maxChanges());
+    RoundEdits edits = new RoundEdits(ledger.pendingReleases(), limits.maxChanges());
     if (placing && catalog.get() != null) {
       place(edits);
     }
@@ -288,16 +292,16 @@
         machine.gone = true;
       }
       for (Ownership.Owned owned : ledger.ownership().on(name)) {
-        if (ledger.proofs().has(owned)) {
+        if (ledger.pendingReleases().has(owned)) {
           continue;
         }
-        Judge.Verdict verdict = judge.judge(owned, machine, now);
-        if (verdict == Judge.Verdict.NEEDS_FENCE) {
+        ReleaseEvidence.Verdict verdict = evidence.assess(owned, machine, now);
+        if (verdict == ReleaseEvidence.Verdict.NEEDS_FENCE) {
           fence = true;
           dirty.add(name);
-        } else if (verdict != Judge.Verdict.OWNED) {
+        } else if (verdict != ReleaseEvidence.Verdict.OWNED) {
           take(owned, machine, verdict, now);
-          if (verdict == Judge.Verdict.LAPSED) {
+          if (verdict == ReleaseEvidence.Verdict.LAPSED) {
             lapsed++;
             lapsedOn.add(name);
           }
@@ -314,11 +318,11 @@
   }
 
   private void take(
-      Ownership.Owned owned, MachineState machine, Judge.Verdict verdict, Duration now) {
+      Ownership.Owned owned, MachineState machine, ReleaseEvidence.Verdict verdict, Duration now) {
     JobEntry entry = owned.entry();
     Attempt attempt = owned.attempt();
-    ledger.proofs().add(new Proofs.Proof(owned, verdict, now));
-    boolean done = verdict == Judge.Verdict.DONE;
+    ledger.pendingReleases().add(new PendingReleases.Release(owned, verdict, now));
+    boolean done = verdict == ReleaseEvidence.Verdict.DONE;
     view.ended(owned.id(), done, now);
     if (machine != null) {
       machine.view = null;
@@ -334,20 +338,22 @@
       }
       return;
     }
-    if (verdict == Judge.Verdict.LAPSED) {
+    if (verdict == ReleaseEvidence.Verdict.LAPSED) {
       meters.lapses.increment();
-    } else if (verdict == Judge.Verdict.FAILED) {
+    } else if (verdict == ReleaseEvidence.Verdict.FAILED) {
       meters.failures.increment();
     }
-    if (verdict == Judge.Verdict.FAILED || verdict == Judge.Verdict.REFUSED) {
+    if (verdict == ReleaseEvidence.Verdict.FAILED || verdict == ReleaseEvidence.Verdict.REFUSED) {
       LOG.info(
           "task {} try {} on {}: {}", owned.id(), attempt.number(), attempt.machine(), verdict);
     }
-    if (machine != null && (verdict == Judge.Verdict.FAILED || verdict == Judge.Verdict.REFUSED)) {
+    if (machine != null
+        && (verdict == ReleaseEvidence.Verdict.FAILED
+            || verdict == ReleaseEvidence.Verdict.REFUSED)) {
       machine.failedJobs.put(entry.job().id(), now);
     }
     if (machine != null
-        && verdict == Judge.Verdict.FAILED
+        && verdict == ReleaseEvidence.Verdict.FAILED
         && ledger.backoff().failed(entry, view.succeeded(entry), machine, now)) {
       machine.failuresInARow++;
     }
@@ -391,7 +397,7 @@
       Attempt attempt = entry.shard(entry.shardOf(number)).shard().owner(number);
       if (attempt != null) {
         stopped.merge(stop.task().job(), 1, Integer::sum);
-        ledger.stops().add(stop.task(), attempt.number(), stop.grace());
+        ledger.stopRequests().add(stop.task(), attempt.number(), stop.grace());
         machineTouched(attempt.machine());
       }
     }
--- a/src/test/java/io/cherryspool/controller/RoundEditsTest.java
+++ b/src/test/java/io/cherryspool/controller/RoundEditsTest.java
@@ -25,12 +25,12 @@
 
   private final Job job = JobFixture.job(ID, Priority.NORMAL, 4, 1);
   private final JobEntry entry = JobEntryFixture.running(job, 3, "host-1");
-  private final Proofs proofs = new Proofs();
+  private final PendingReleases pendingReleases = new PendingReleases();
 
-  private void ended(int task, Judge.Verdict verdict, int at) {
+  private void ended(int task, ReleaseEvidence.Verdict verdict, int at) {
     Attempt attempt = entry.shard(0).shard().owner(task);
-    proofs.add(
-        new Proofs.Proof(
+    pendingReleases.add(
+        new PendingReleases.Release(
             new Ownership.Owned(entry, new TaskId(ID, task), attempt),
             verdict,
             Duration.ofSeconds(at)));
@@ -41,12 +41,12 @@
   }
 
   private RoundEdits edits() {
-    return new RoundEdits(proofs, 8);
+    return new RoundEdits(pendingReleases, 8);
   }
 
   @Test
   void aFreshEndWaitsForAnotherChangeOfItsShard() {
-    ended(0, Judge.Verdict.DONE, 101);
+    ended(0, ReleaseEvidence.Verdict.DONE, 101);
     assertEquals(List.of(), units(edits()));
     RoundEdits edits = edits();
     edits.assign(entry, 3, "host-2", 1, 9);
@@ -61,16 +61,16 @@
 
   @Test
   void itWaitsAsLongAsTheBudgetIsShortButNotForGood() {
-    ended(0, Judge.Verdict.DONE, 99);
+    ended(0, ReleaseEvidence.Verdict.DONE, 99);
     assertEquals(Budget.Use.LATER, units(edits()).get(0).use());
-    ended(1, Judge.Verdict.FAILED, 79);
+    ended(1, ReleaseEvidence.Verdict.FAILED, 79);
     assertEquals(Budget.Use.ROUND, units(edits()).get(0).use());
   }
 
   /** The freed task is planned again before its release is written. */
   @Test
   void aReleaseAndTheNextStartOfATaskAreOneWrite() {
-    ended(2, Judge.Verdict.LAPSED, 101);
+    ended(2, ReleaseEvidence.Verdict.LAPSED, 101);
     RoundEdits edits = edits();
     edits.assign(entry, 2, "host-2", 4, 9);
     String value = units(edits).get(0).changes().get(0).value().toString();
@@ -83,10 +83,10 @@
     JobEntry all = JobEntryFixture.running(JobFixture.job(ID, Priority.NORMAL, 2, 1), 2, "host-1");
     for (int task = 0; task < 2; task++) {
       Attempt attempt = all.shard(0).shard().owner(task);
-      proofs.add(
-          new Proofs.Proof(
+      pendingReleases.add(
+          new PendingReleases.Release(
               new Ownership.Owned(all, new TaskId(ID, task), attempt),
-              Judge.Verdict.DONE,
+              ReleaseEvidence.Verdict.DONE,
               Duration.ofSeconds(101)));
     }
     List<RoundWriter.Unit> units = edits().units(List.of(all), DUE, OVERDUE);
