Measure where a controller's processor time and memory go, by a program among the stand-ins

Playground shares the settings of its nodes with it; the stand-in cloud gives addresses to more than 254 machines.

--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/ControllerProcess.java
@@ -0,0 +1,136 @@
+package io.cherryspool.sim;
+
+import java.io.BufferedReader;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** A controller as a process of its own, and what the kernel tells of it. */
+final class ControllerProcess {
+  private static final String LISTENING = " listens on ";
+  private static final String LEADING = "leading in term ";
+  private static final long PATIENCE_S = 30;
+
+  private final Process process;
+  private final long startNanos = System.nanoTime();
+  private final Path folder;
+  private final Map<String, Used> threads = new HashMap<>();
+  private final CompletableFuture<Reached> listening = new CompletableFuture<>();
+  private final CompletableFuture<Reached> leading = new CompletableFuture<>();
+
+  /** The processor time of a thread, also of one that has ended, as it was last seen. */
+  private record Used(ThreadTimes.Group group, long nanos) {}
+
+  /** What had been used, and how long it had taken, when the log told of an event. */
+  record Reached(ThreadTimes used, double wallMillis) {}
+
+  /** Starts the command in the directory; its log goes to the file. */
+  ControllerProcess(List<String> command, Path directory, Path log) throws IOException {
+    process =
+        new ProcessBuilder(command).directory(directory.toFile()).redirectErrorStream(true).start();
+    folder = Path.of("/proc", String.valueOf(process.pid()));
+    Thread reader = new Thread(() -> readLog(log), "log");
+    reader.setDaemon(true);
+    reader.start();
+  }
+
+  private void readLog(Path log) {
+    try (BufferedReader reader = process.inputReader(StandardCharsets.UTF_8);
+        BufferedWriter writer = Files.newBufferedWriter(log)) {
+      for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+        if (line.contains(LISTENING)) {
+          listening.complete(reached());
+        } else if (line.contains(LEADING)) {
+          leading.complete(reached());
+        }
+        writer.write(line);
+        writer.newLine();
+        writer.flush();
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private Reached reached() {
+    return new Reached(used(), (System.nanoTime() - startNanos) / 1e6);
+  }
+
+  Reached awaitListening() throws InterruptedException {
+    return await(listening, "listen");
+  }
+
+  Reached awaitLeading() throws InterruptedException {
+    return await(leading, "lead");
+  }
+
+  private static Reached await(CompletableFuture<Reached> event, String what)
+      throws InterruptedException {
+    try {
+      return event.get(PATIENCE_S, TimeUnit.SECONDS);
+    } catch (ExecutionException | TimeoutException e) {
+      throw new IllegalStateException("the controller does not " + what, e);
+    }
+  }
+
+  long pid() {
+    return process.pid();
+  }
+
+  /** The processor time that the process has used until now. */
+  synchronized ThreadTimes used() {
+    try (DirectoryStream<Path> tasks = Files.newDirectoryStream(folder.resolve("task"))) {
+      for (Path task : tasks) {
+        readThread(task);
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    ThreadTimes sum = ThreadTimes.NONE;
+    for (Used thread : threads.values()) {
+      sum = sum.plus(thread.group, thread.nanos);
+    }
+    return sum;
+  }
+
+  private void readThread(Path task) throws IOException {
+    try {
+      String name = Files.readString(task.resolve("comm")).strip();
+      String nanos = Files.readString(task.resolve("schedstat")).split(" ")[0];
+      Used used = new Used(ThreadTimes.Group.of(name), Long.parseLong(nanos));
+      threads.put(task.getFileName().toString(), used);
+    } catch (NoSuchFileException e) {
+      // The thread has ended since its folder was listed.
+    }
+  }
+
+  /** A field of the process's status in MiB, such as VmRSS. */
+  double statusMib(String field) throws IOException {
+    for (String line : Files.readAllLines(folder.resolve("status"))) {
+      if (line.startsWith(field + ":")) {
+        return Long.parseLong(line.replaceAll("\\D", "")) / 1024.0;
+      }
+    }
+    throw new IllegalArgumentException("no field " + field);
+  }
+
+  void stop() throws InterruptedException {
+    // By its handle, since Process.destroy would close the log as well.
+    process.toHandle().destroy();
+    if (!process.waitFor(PATIENCE_S, TimeUnit.SECONDS)) {
+      process.destroyForcibly();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/CostCluster.java
@@ -0,0 +1,198 @@
+package io.cherryspool.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.http.NettyClient;
+import io.cherryspool.http.NettyLoop;
+import io.cherryspool.http.NettyServer;
+import io.cherryspool.http.Reply;
+import io.cherryspool.http.Request;
+import io.cherryspool.model.Job;
+import io.cherryspool.model.MachineType;
+import io.cherryspool.model.Resources;
+import io.cherryspool.store.Records;
+import io.cherryspool.wire.JobWire;
+import io.cherryspool.wire.StateWire;
+import io.cherryspool.wire.WireException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+
+/**
+ * What stands around the controllers whose costs are measured: a state service, a cloud and a fleet
+ * of workers, all on one event loop of this process and on addresses of the loopback network.
+ */
+final class CostCluster {
+  static final Duration REPORT = Duration.ofMillis(2500);
+
+  private static final Duration LEASE = Duration.ofSeconds(16);
+  private static final Endpoint STATE = new Endpoint("127.77.1.1", 12379);
+  private static final Endpoint CLOUD = new Endpoint("127.77.1.2", 18443);
+  private static final String NODES = "127.77.0.";
+  private static final int NODE_PORT = 18080;
+  private static final String WORKERS = "127.78.";
+  private static final int SOCKETS = 256;
+  private static final int SOCKETS_PER_WORKER = 4;
+  private static final Duration CALL_LIMIT = Duration.ofSeconds(10);
+  private static final long ANSWER_S = 30;
+  private static final MachineType BOX =
+      new MachineType(
+          "box",
+          new Resources(16, 0, 64),
+          50,
+          0.5,
+          1,
+          0.4,
+          Duration.ofSeconds(10),
+          LoopbackNodes.ZONES);
+
+  private final int size;
+  private final NettyLoop loop = new NettyLoop();
+  private final SplittableRandom random = new SplittableRandom(1);
+  private final StandInState state = new StandInState(loop, random.split(), 0);
+  private final StandInCloud cloud;
+  private final NettyClient client = new NettyClient(loop, SOCKETS);
+  private final LoopbackNodes nodes;
+  private final ExecutorService binding = Executors.newSingleThreadExecutor();
+  private final List<StandInWorker> workers = new ArrayList<>();
+  private final Map<String, Job> described = new HashMap<>();
+  private int startedTasks;
+
+  CostCluster(int size, LoopbackNodes.Limits limits) {
+    this.size = size;
+    nodes = new LoopbackNodes(NODES, NODE_PORT, STATE, CLOUD, REPORT, LEASE, limits);
+    cloud =
+        new StandInCloud(
+            loop, random.split(), List.of(BOX), size, WORKERS, this::boot, machine -> {});
+  }
+
+  /** The services listen; there is no machine yet. */
+  void listen() throws InterruptedException {
+    new NettyServer(loop, state, SOCKETS).bind(STATE);
+    new NettyServer(loop, cloud, SOCKETS).bind(CLOUD);
+  }
+
+  LoopbackNodes nodes() {
+    return nodes;
+  }
+
+  /** All machines boot and begin to report, spread over one report's time. */
+  void bootWorkers() {
+    onLoop(
+        () -> {
+          for (int i = 0; i < size; i++) {
+            String zone = LoopbackNodes.ZONES.get(i % LoopbackNodes.ZONES.size());
+            cloud.add(BOX.name(), zone, true, REPORT.multipliedBy(i).dividedBy(size));
+          }
+          return null;
+        });
+  }
+
+  private void boot(StandInCloud.Machine machine) {
+    StandInWorker worker =
+        new StandInWorker(
+            loop,
+            random.split(),
+            new NettyClient(loop, SOCKETS_PER_WORKER),
+            machine,
+            nodes.addresses(),
+            this::describe,
+            REPORT,
+            LEASE,
+            0,
+            (on, task) -> startedTasks++,
+            task -> {});
+    workers.add(worker);
+    // Binding waits for the loop, on which this runs.
+    binding.execute(() -> listen(machine, worker));
+  }
+
+  private void listen(StandInCloud.Machine machine, StandInWorker worker) {
+    try {
+      new NettyServer(loop, worker, SOCKETS).bind(Endpoint.parse(machine.address()));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private Job describe(String id) {
+    return described.computeIfAbsent(id, this::read);
+  }
+
+  private Job read(String id) {
+    JsonNode record = state.peek(Records.job(id));
+    try {
+      return record == null ? null : JobWire.parse(record.path("job"), Instant.now());
+    } catch (WireException e) {
+      return null;
+    }
+  }
+
+  /** How many tasks were ever started. */
+  int startedTasks() {
+    return onLoop(() -> startedTasks);
+  }
+
+  /** How many tasks are on the machines now. */
+  int runningTasks() {
+    return onLoop(() -> workers.stream().mapToInt(worker -> worker.taken().size()).sum());
+  }
+
+  /** How many reports the workers have made. */
+  long reports() {
+    return onLoop(() -> workers.stream().mapToLong(StandInWorker::descriptions).sum());
+  }
+
+  /** How many leases have run out, which a measurement should not meet. */
+  long leasesLost() {
+    return onLoop(() -> workers.stream().mapToLong(worker -> worker.session() - 1).sum());
+  }
+
+  /** The worker of the given number; numbers beyond the last begin again. Call it on the loop. */
+  StandInWorker worker(int number) {
+    return workers.get(number % workers.size());
+  }
+
+  /** Asks a node something. Call it on the loop. */
+  CompletableFuture<Reply> ask(String node, Request request) {
+    return client.send(nodes.addresses().get(node), request, CALL_LIMIT);
+  }
+
+  /** Commits changes as some other node might. Call it on the loop. */
+  CompletableFuture<Reply> commit(StateWire.Change change) {
+    return state.handle(StateWire.commit(Map.of(), List.of(change)));
+  }
+
+  NettyLoop loop() {
+    return loop;
+  }
+
+  private <T> T onLoop(Supplier<T> question) {
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    loop.execute(() -> answer.complete(question.get()));
+    return await(answer);
+  }
+
+  /** Waits for something that is told on the loop. */
+  static <T> T await(CompletableFuture<T> answer) {
+    try {
+      return answer.get(ANSWER_S, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException(e);
+    } catch (ExecutionException | TimeoutException e) {
+      throw new IllegalStateException("no answer on the loop", e);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/CostReport.java
@@ -0,0 +1,155 @@
+package io.cherryspool.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+
+/** Turns what was measured in windows of time into tables of costs. */
+final class CostReport {
+  private static final int LEADER = 0;
+  private static final int ASKED = 1;
+  private static final int OTHER = 2;
+
+  private final List<Window> windows = new ArrayList<>();
+  private final CostTable starts =
+      new CostTable(
+          "start, processor ms", "event loop", "compiler", "main", "VM and others", "all", "wall");
+
+  /** How the figures of a window are read. */
+  enum Kind {
+    /** Nothing but what always goes on; the other windows are compared with these. */
+    IDLE,
+    /** Told as it is, by the second. */
+    WHOLE,
+    /** Something happened a known number of times. */
+    EVENTS,
+    /** Workers reported without being due, with no news. */
+    UNCHANGED_REPORTS,
+    /** Workers reported without being due, each with news. */
+    CHANGED_REPORTS
+  }
+
+  /** What happened in a window of time, and what each node used meanwhile. */
+  record Window(
+      String name, Kind kind, int events, double seconds, long reports, List<ThreadTimes> used) {}
+
+  void add(Window window) {
+    windows.add(window);
+  }
+
+  /** A controller that starts has got so far. */
+  void started(String name, ControllerProcess.Reached reached) {
+    ThreadTimes used = reached.used();
+    starts.row(
+        name,
+        used.millis(ThreadTimes.Group.LOOP),
+        used.millis(ThreadTimes.Group.COMPILER),
+        used.millis(ThreadTimes.Group.MAIN),
+        used.millis(ThreadTimes.Group.OTHER),
+        used.millis(),
+        reached.wallMillis());
+  }
+
+  @Override
+  public String toString() {
+    return starts + "\n\n" + bySecond() + "\n\n" + byEvent();
+  }
+
+  private CostTable bySecond() {
+    CostTable table =
+        new CostTable(
+            "processor ms a second",
+            "s",
+            "reports a second",
+            "leader: event loop",
+            "compiler",
+            "VM and others",
+            "all",
+            "follower asked",
+            "other follower");
+    for (Window window : windows) {
+      if (window.kind == Kind.IDLE || window.kind == Kind.WHOLE) {
+        ThreadTimes leader = window.used.get(LEADER);
+        table.row(
+            window.name,
+            window.seconds,
+            window.reports / window.seconds,
+            leader.millis(ThreadTimes.Group.LOOP) / window.seconds,
+            leader.millis(ThreadTimes.Group.COMPILER) / window.seconds,
+            leader.millis(ThreadTimes.Group.OTHER) / window.seconds,
+            leader.millis() / window.seconds,
+            window.used.get(ASKED).millis() / window.seconds,
+            window.used.get(OTHER).millis() / window.seconds);
+      }
+    }
+    return table;
+  }
+
+  private CostTable byEvent() {
+    CostTable table =
+        new CostTable(
+            "processor ms each, beyond idling",
+            "events",
+            "reports",
+            "leader: event loop",
+            "compiler",
+            "VM and others",
+            "all",
+            "follower asked",
+            "other follower");
+    for (Window window : windows) {
+      if (window.kind != Kind.IDLE && window.kind != Kind.WHOLE) {
+        table.row(
+            window.name,
+            events(window),
+            reportsBeyondIdle(window) / events(window),
+            each(window, LEADER, used -> used.millis(ThreadTimes.Group.LOOP)),
+            each(window, LEADER, used -> used.millis(ThreadTimes.Group.COMPILER)),
+            each(window, LEADER, used -> used.millis(ThreadTimes.Group.OTHER)),
+            each(window, LEADER, ThreadTimes::millis),
+            each(window, ASKED, ThreadTimes::millis),
+            each(window, OTHER, ThreadTimes::millis));
+      }
+    }
+    return table;
+  }
+
+  /** A worker that reports without being due puts its next report off. */
+  private double events(Window window) {
+    return window.kind == Kind.UNCHANGED_REPORTS ? reportsBeyondIdle(window) : window.events;
+  }
+
+  private double each(Window window, int node, ToDoubleFunction<ThreadTimes> part) {
+    double cost = beyondIdle(window, node, part);
+    if (window.kind == Kind.CHANGED_REPORTS) {
+      cost -= reportsBeyondIdle(window) * unchangedReport(node, part);
+    }
+    return cost / events(window);
+  }
+
+  private double unchangedReport(int node, ToDoubleFunction<ThreadTimes> part) {
+    return windows.stream()
+        .filter(window -> window.kind == Kind.UNCHANGED_REPORTS)
+        .mapToDouble(window -> each(window, node, part))
+        .average()
+        .orElseThrow();
+  }
+
+  private double reportsBeyondIdle(Window window) {
+    return window.reports - whenIdle(Window::reports) * window.seconds;
+  }
+
+  private double beyondIdle(Window window, int node, ToDoubleFunction<ThreadTimes> part) {
+    double usual = whenIdle(item -> part.applyAsDouble(item.used.get(node)));
+    return part.applyAsDouble(window.used.get(node)) - usual * window.seconds;
+  }
+
+  /** The figure for a second in which nothing happens. */
+  private double whenIdle(ToDoubleFunction<Window> figure) {
+    return windows.stream()
+        .filter(window -> window.kind == Kind.IDLE)
+        .mapToDouble(window -> figure.applyAsDouble(window) / window.seconds)
+        .average()
+        .orElseThrow();
+  }
+}
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/CostTable.java
@@ -0,0 +1,37 @@
+package io.cherryspool.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** A table of figures in Markdown. */
+final class CostTable {
+  private final List<String> lines = new ArrayList<>();
+
+  CostTable(String... headings) {
+    lines.add("| " + String.join(" | ", headings) + " |");
+    lines.add("| ---" + " | ---:".repeat(headings.length - 1) + " |");
+  }
+
+  void row(String name, double... figures) {
+    StringBuilder line = new StringBuilder("| ").append(name);
+    for (double figure : figures) {
+      line.append(" | ").append(number(figure));
+    }
+    lines.add(line.append(" |").toString());
+  }
+
+  /** Three digits at most, since the runs do not agree on more. */
+  private static String number(double figure) {
+    if (Double.isNaN(figure)) {
+      return "";
+    }
+    int decimals = Math.abs(figure) >= 100 ? 0 : Math.abs(figure) >= 10 ? 1 : 2;
+    return String.format(Locale.ROOT, "%." + decimals + "f", figure);
+  }
+
+  @Override
+  public String toString() {
+    return String.join("\n", lines);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/LoopbackNodes.java
@@ -0,0 +1,113 @@
+package io.cherryspool.sim;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.wire.Json;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Three nodes on addresses of the loopback network, and their settings files. */
+final class LoopbackNodes {
+  static final List<String> ZONES = List.of("a", "b", "c");
+
+  private final String network;
+  private final int port;
+  private final Endpoint state;
+  private final Endpoint cloud;
+  private final Duration report;
+  private final Duration lease;
+  private final Limits limits;
+  private final Map<String, Endpoint> addresses = new LinkedHashMap<>();
+
+  /**
+   * What the state service takes a second, how many sockets a node may hold, and how many
+   * processors the one team may use, 0 for as many as there are.
+   */
+  record Limits(double stateRequests, double stateWrites, int sockets, double teamCpus) {}
+
+  /** The nodes have the first addresses of the network; {@code port + 1} is for their own words. */
+  LoopbackNodes(
+      String network,
+      int port,
+      Endpoint state,
+      Endpoint cloud,
+      Duration report,
+      Duration lease,
+      Limits limits) {
+    this.network = network;
+    this.port = port;
+    this.state = state;
+    this.cloud = cloud;
+    this.report = report;
+    this.lease = lease;
+    this.limits = limits;
+    for (int i = 0; i < ZONES.size(); i++) {
+      addresses.put(name(i), new Endpoint(host(i), port));
+    }
+  }
+
+  /** The address of each node by its name. */
+  Map<String, Endpoint> addresses() {
+    return addresses;
+  }
+
+  static String name(int index) {
+    return "node-" + index;
+  }
+
+  private String host(int index) {
+    return network + (index + 1);
+  }
+
+  private String mesh(int index) {
+    return new Endpoint(host(index), port + 1).toString();
+  }
+
+  /** Writes the settings of one node into the folder. */
+  Path write(Path folder, int index) throws IOException {
+    Path file = folder.resolve(name(index) + ".json");
+    return Files.write(file, Json.bytes(settings(index)));
+  }
+
+  private ObjectNode settings(int index) {
+    ObjectNode root = Json.object().put("host_name", name(index)).put("site", ZONES.get(index));
+    root.put("client_listen", addresses.get(name(index)).toString());
+    root.put("mesh_addr", mesh(index));
+    ArrayNode known = root.putArray("known");
+    for (int i = 0; i < ZONES.size(); i++) {
+      if (i != index) {
+        ObjectNode peer = known.addObject().put("host_name", name(i));
+        peer.put("site", ZONES.get(i)).put("endpoint", mesh(i));
+      }
+    }
+    root.putObject("services").put("cloud", cloud.toString()).put("state", state.toString());
+    root.set("facts", facts());
+    return root;
+  }
+
+  private ObjectNode facts() {
+    ObjectNode facts = Json.object();
+    ObjectNode team = facts.putArray("teams").addObject().put("name", "red").put("cpus", 64.0);
+    team.put("cpus_max", limits.teamCpus);
+    facts
+        .putObject("workers")
+        .put("report_s", report.toMillis() / 1e3)
+        .put("lease_s", (double) lease.toSeconds())
+        .put("cancel_s", 36.0);
+    facts
+        .putObject("state")
+        .put("rps", limits.stateRequests)
+        .put("write_rps", limits.stateWrites)
+        .put("value_kb", 16.0)
+        .put("txn_ops", 48);
+    facts.putObject("cloud").put("rps", 6.0).put("list_lag_s", 6.0);
+    facts.putObject("resources").put("fd_limit", limits.sockets);
+    return facts;
+  }
+}
--- a/src/test/java/io/cherryspool/sim/Playground.java
+++ b/src/test/java/io/cherryspool/sim/Playground.java
@@ -1,8 +1,6 @@
 package io.cherryspool.sim;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.cherryspool.http.Endpoint;
 import io.cherryspool.http.NettyClient;
 import io.cherryspool.http.NettyLoop;
@@ -12,7 +10,6 @@
 import io.cherryspool.model.Resources;
 import io.cherryspool.store.Records;
 import io.cherryspool.wire.JobWire;
-import io.cherryspool.wire.Json;
 import io.cherryspool.wire.WireException;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -20,7 +17,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -31,7 +27,7 @@
  * nodes into a folder; see README.
  */
 public final class Playground {
-  private static final List<String> ZONES = List.of("a", "b", "c");
+  private static final List<String> ZONES = LoopbackNodes.ZONES;
   private static final Endpoint STATE = new Endpoint("127.0.0.1", 2379);
   private static final Endpoint CLOUD = new Endpoint("127.0.0.1", 8443);
   private static final Duration REPORT = Duration.ofMillis(2500);
@@ -47,17 +43,19 @@
   private final StandInState state = new StandInState(loop, random.split(), 0);
   private final StandInCloud cloud =
       new StandInCloud(
-          loop, random.split(), List.of(BOX), MACHINES, "127.1.0.", this::boot, this::end);
+          loop, random.split(), List.of(BOX), MACHINES, "127.1.", this::boot, this::end);
   private final NettyClient client = new NettyClient(loop, SOCKETS);
-  private final Map<String, Endpoint> nodes = new LinkedHashMap<>();
+  private final LoopbackNodes nodes =
+      new LoopbackNodes(
+          "127.0.0.",
+          8080,
+          STATE,
+          CLOUD,
+          REPORT,
+          LEASE,
+          new LoopbackNodes.Limits(150, 60, 1000, 128));
   private final Map<String, StandInWorker> workers = new HashMap<>();
 
-  private Playground() {
-    for (int i = 0; i < ZONES.size(); i++) {
-      nodes.put("node-" + i, new Endpoint("127.0.0." + (i + 1), 8080));
-    }
-  }
-
   /** Takes the folder for the settings, and runs until it is stopped. */
   public static void main(String[] args) throws Exception {
     if (args.length != 1) {
@@ -73,47 +71,12 @@
     loop.execute(() -> ZONES.forEach(zone -> cloud.add("box", zone, false, REPORT)));
     Files.createDirectories(folder);
     for (int i = 0; i < ZONES.size(); i++) {
-      Path file = folder.resolve("node-" + i + ".json");
-      Files.write(file, Json.bytes(settings(i)));
-      System.out.println("settings of node-" + i + ": " + file);
+      Path file = nodes.write(folder, i);
+      System.out.println("settings of " + LoopbackNodes.name(i) + ": " + file);
     }
     loop.join();
   }
 
-  private ObjectNode settings(int index) {
-    ObjectNode root = Json.object().put("host_name", "node-" + index).put("site", ZONES.get(index));
-    root.put("client_listen", nodes.get("node-" + index).toString());
-    root.put("mesh_addr", mesh(index));
-    ArrayNode known = root.putArray("known");
-    for (int i = 0; i < ZONES.size(); i++) {
-      if (i != index) {
-        ObjectNode peer = known.addObject().put("host_name", "node-" + i);
-        peer.put("site", ZONES.get(i)).put("endpoint", mesh(i));
-      }
-    }
-    root.putObject("services").put("cloud", CLOUD.toString()).put("state", STATE.toString());
-    ObjectNode facts = root.putObject("facts");
-    facts.putArray("teams").addObject().put("name", "red").put("cpus", 64.0).put("cpus_max", 128.0);
-    facts
-        .putObject("workers")
-        .put("report_s", REPORT.toMillis() / 1e3)
-        .put("lease_s", (double) LEASE.toSeconds())
-        .put("cancel_s", 36.0);
-    facts
-        .putObject("state")
-        .put("rps", 150.0)
-        .put("write_rps", 60.0)
-        .put("value_kb", 16.0)
-        .put("txn_ops", 48);
-    facts.putObject("cloud").put("rps", 6.0).put("list_lag_s", 6.0);
-    facts.putObject("resources").put("fd_limit", 1000);
-    return root;
-  }
-
-  private String mesh(int index) {
-    return nodes.get("node-" + index).host() + ":8081";
-  }
-
   private void boot(StandInCloud.Machine machine) {
     StandInWorker worker =
         new StandInWorker(
@@ -121,7 +84,7 @@
             random.split(),
             client,
             machine,
-            nodes,
+            nodes.addresses(),
             this::described,
             REPORT,
             LEASE,
--- a/src/test/java/io/cherryspool/sim/StandInCloud.java
+++ b/src/test/java/io/cherryspool/sim/StandInCloud.java
@@ -24,8 +24,11 @@
 public final class StandInCloud implements Handler {
   private static final int PORT = 9000;
 
-  /** Each machine is given the next address after this beginning. */
-  static final String NETWORK = "10.1.0.";
+  /** Each machine is given the next address in this network. */
+  static final String NETWORK = "10.1.";
+
+  /** So many machines have addresses that differ in their last part only. */
+  private static final int SUBNET = 250;
 
   private static final Duration LIST_LAG = Duration.ofSeconds(6);
 
@@ -169,7 +172,7 @@
     MachineType type =
         types.stream().filter(item -> item.name().equals(typeName)).findFirst().orElseThrow();
     String name = String.format("host-%06d", ++count);
-    Machine machine = new Machine(name, network + count, type, zone, spot, loop.now());
+    Machine machine = new Machine(name, host(count), type, zone, spot, loop.now());
     machines.put(name, machine);
     loop.schedule(
         bootTime,
@@ -182,6 +185,10 @@
     return name;
   }
 
+  private String host(int number) {
+    return network + number / SUBNET + "." + number % SUBNET;
+  }
+
   /** The list shows the fleet as it was a while ago. */
   private void snapshot() {
     loop.schedule(Duration.ofSeconds(1), this::snapshot);
--- a/src/test/java/io/cherryspool/sim/StandInWorker.java
+++ b/src/test/java/io/cherryspool/sim/StandInWorker.java
@@ -181,6 +181,32 @@
     changed = true;
   }
 
+  /** Sends a report at once unless one is under way. */
+  void reportNow() {
+    if (!reporting && !hung && !dead) {
+      send();
+    }
+  }
+
+  /** What the worker would report now. */
+  byte[] report() {
+    return Json.bytes(describe());
+  }
+
+  /** How often the worker has described itself, in reports and in answers. */
+  long descriptions() {
+    return sequence;
+  }
+
+  /** Tells that what runs is being saved, or that it runs, and does neither. */
+  void pretendSaving(boolean saving) {
+    for (Piece piece : pieces.values()) {
+      if (piece.cause == null && !piece.status.equals("pulling")) {
+        piece.status = saving ? "saving" : "running";
+      }
+    }
+  }
+
   private void later(Duration delay, Runnable task) {
     loop.schedule(delay, () -> awake(task));
   }
