--- /dev/null
+++ b/src/test/java/io/cherryspool/store/ReplicaCostTest.java
@@ -0,0 +1,136 @@
+package io.cherryspool.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.cherryspool.http.Endpoint;
+import io.cherryspool.http.Reply;
+import io.cherryspool.http.Request;
+import io.cherryspool.model.JobFixture;
+import io.cherryspool.model.Outcome;
+import io.cherryspool.model.Priority;
+import io.cherryspool.model.Shard;
+import io.cherryspool.sim.HeapMeter;
+import io.cherryspool.sim.StateLine;
+import io.cherryspool.sim.VirtualTime;
+import io.cherryspool.wire.Json;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/** What a node that only follows may use for the changes of the others. Bytes are counted. */
+class ReplicaCostTest {
+  private static final String JOB = "req-000001";
+  private static final int TASKS = 100;
+  private static final int OWNED = 20;
+  private static final Duration CALL = Duration.ofSeconds(1);
+  private static final int WARM_UP = 3000;
+  private static final int EVENTS = 1000;
+  private static final long MOST_ALLOCATED_PER_EVENT = 15_000;
+  private static final int JOBS = 20_000;
+  private static final long MOST_KEPT_PER_JOB = 900;
+
+  private final VirtualTime time = new VirtualTime();
+  private final Budget budget = new Budget(time, 1, 1000, 1000);
+  private final StateClient client =
+      new StateClient(
+          time,
+          budget,
+          (to, request, deadline) -> send(request),
+          new Endpoint("127.0.0.1", 1),
+          CALL);
+  private final Replica replica =
+      new Replica(time, client, budget, Duration.ofMillis(5), CALL.dividedBy(2));
+  private CompletableFuture<Reply> watch;
+  private long revision;
+
+  private CompletableFuture<Reply> send(Request request) {
+    if (request.target().contains(StateLine.WATCH)) {
+      watch = new CompletableFuture<>();
+      return watch;
+    }
+    ObjectNode empty = Json.object().put("has_next", false).put("epoch", revision);
+    empty.putArray("entries");
+    empty.putArray("events");
+    return CompletableFuture.completedFuture(Reply.json(200, Json.bytes(empty)));
+  }
+
+  /** An answer to the watch with one change. */
+  private Reply put(String key, JsonNode value) {
+    ObjectNode answer = Json.object().put("epoch", ++revision);
+    ArrayNode events = answer.putArray("events");
+    events.addObject().put("put", key).put("stamp", revision).set("v", value);
+    return Reply.json(200, Json.bytes(answer));
+  }
+
+  /** The watch is answered, and opened again. */
+  private void tell(Reply reply) {
+    watch.complete(reply);
+    reopen();
+  }
+
+  private void reopen() {
+    while (watch.isDone()) {
+      time.step(time.now().plusSeconds(1));
+    }
+  }
+
+  private Reply accepted(String id) {
+    return put(Records.job(id), Records.job(JobFixture.job(id, Priority.NORMAL, TASKS, 1), TASKS));
+  }
+
+  /** Some of the tasks are done, the next ones have owners. */
+  private Reply progressed(int done) {
+    Shard.Editor editor = Shard.EMPTY.edit().doneRange(0, done);
+    for (int task = done + 1; task <= done + OWNED; task++) {
+      editor.assign(task, "host-" + task, 1, 7);
+    }
+    return put(Records.progress(JOB, 0), Records.shard(editor.build()));
+  }
+
+  private List<Reply> progress(int count) {
+    List<Reply> result = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      result.add(progressed(i % (TASKS / 2)));
+    }
+    return result;
+  }
+
+  @Test
+  void aChangeOfProgressAllocatesLittle() {
+    replica.start();
+    tell(accepted(JOB));
+    progress(WARM_UP).forEach(this::tell);
+    long bytes = 0;
+    for (Reply reply : progress(EVENTS)) {
+      bytes += HeapMeter.allocated(() -> watch.complete(reply));
+      reopen();
+    }
+    assertEquals(OWNED, replica.job(JOB).ownedCount(), "the changes are taken in");
+    long each = bytes / EVENTS;
+    assertTrue(each <= MOST_ALLOCATED_PER_EVENT, each + " bytes an event");
+  }
+
+  @Test
+  void aJobThatHasEndedKeepsLittle() {
+    replica.start();
+    long bytes = HeapMeter.kept(this::endedJobs) / JOBS;
+    assertEquals(JOBS, replica.jobCount());
+    assertEquals(0, replica.active().size());
+    assertTrue(bytes <= MOST_KEPT_PER_JOB, bytes + " bytes a job");
+  }
+
+  private Object endedJobs() {
+    for (int i = 0; i < JOBS; i++) {
+      String id = String.format("req-%06d", i);
+      tell(accepted(id));
+      tell(put(Records.outcome(id), Records.outcome(Outcome.DONE)));
+    }
+    return replica;
+  }
+}
