--- a/src/test/java/io/cherryspool/controller/LeaderTermFixture.java
+++ b/src/test/java/io/cherryspool/controller/LeaderTermFixture.java
@@ -3,10 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.cherryspool.cloud.CloudClient;
-import io.cherryspool.duty.EventLoop;
 import io.cherryspool.http.Endpoint;
 import io.cherryspool.http.Reply;
 import io.cherryspool.http.Transport;
+import io.cherryspool.lifecycle.EventLoop;
 import io.cherryspool.model.Job;
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Resources;
@@ -23,7 +23,6 @@
 import io.cherryspool.wire.WireException;
 import io.cherryspool.wire.WorkerWire;
 import io.cherryspool.worker.WorkerClient;
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
@@ -80,13 +79,13 @@
                 20,
                 8,
                 Map.of()),
-            new LeaderTerm.RentalLimits(6, Duration.ofSeconds(6), Duration.ofSeconds(40)),
+            new LeaderTerm.ProvisioningLimits(6, Duration.ofSeconds(6), Duration.ofSeconds(40)),
             new LeaderTerm.Cluster(
                 new LeaderTerm.Authority(() -> true, () -> false),
                 Map.of("red", new Team("red", 0, 0, 0, 0)),
                 () -> TYPES,
                 this::wall,
-                new Meters(new SimpleMeterRegistry())),
+                new Meters()),
             timings(),
             TERM,
             higher -> {});
