--- a/src/main/java/io/cherryspool/controller/Provisioner.java
+++ b/src/main/java/io/cherryspool/controller/Provisioner.java
@@ -4,7 +4,7 @@
 import io.cherryspool.lifecycle.EventLoop;
 import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.model.MachineType;
-import io.cherryspool.model.Rented;
+import io.cherryspool.model.RentedMachine;
 import io.cherryspool.scheduler.FleetPlan;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -45,7 +45,7 @@
   private final String prefix;
   private final BooleanSupplier sole;
   private final Runnable listed;
-  private final Map<String, Rented> list = new HashMap<>();
+  private final Map<String, RentedMachine> list = new HashMap<>();
   private final Map<String, Incoming> incoming = new HashMap<>();
   private final Map<FleetPlan.Offer, Duration> soldOut = new HashMap<>();
   private final Set<String> doomed = new LinkedHashSet<>();
@@ -147,7 +147,7 @@
     lastStep = now;
   }
 
-  private void readList(String after, Map<String, Rented> found) {
+  private void readList(String after, Map<String, RentedMachine> found) {
     busy = true;
     cloud
         .list(after)
@@ -167,13 +167,13 @@
             });
   }
 
-  private void take(Map<String, Rented> found) {
+  private void take(Map<String, RentedMachine> found) {
     listRead = true;
     list.clear();
     list.putAll(found);
     Duration now = loop.now();
-    for (Rented item : found.values()) {
-      if (!fleet.isGone(item.name()) && item.status() == Rented.Status.RUNNING) {
+    for (RentedMachine item : found.values()) {
+      if (!fleet.isGone(item.name()) && item.status() == RentedMachine.Status.RUNNING) {
         fleet.add(item.name(), item.address(), item.type(), item.zone(), item.spot(), now);
       }
     }
@@ -182,13 +182,13 @@
 
   /** Decides which machines to delete, and only for reasons that hold whatever a late list says. */
   private void condemn(Duration now) {
-    for (Rented item : list.values()) {
+    for (RentedMachine item : list.values()) {
       if (fleet.isGone(item.name())) {
         continue;
       }
-      if (item.status() == Rented.Status.FAILED) {
+      if (item.status() == RentedMachine.Status.FAILED) {
         doom(item.name(), "it has failed");
-      } else if (item.status() == Rented.Status.BOOTING
+      } else if (item.status() == RentedMachine.Status.BOOTING
           && !fleet.hasHeard(item.name())
           && item.age().compareTo(bootLimit(item.type())) > 0) {
         doom(item.name(), "it has been booting for " + item.age().toSeconds() + " s");
@@ -359,8 +359,8 @@
             });
     List<FleetPlan.Offer> result = new ArrayList<>();
     incoming.values().forEach(item -> result.add(item.offer));
-    for (Rented item : list.values()) {
-      if (item.status() == Rented.Status.BOOTING
+    for (RentedMachine item : list.values()) {
+      if (item.status() == RentedMachine.Status.BOOTING
           && !fleet.hasHeard(item.name())
           && !incoming.containsKey(item.name())
           && !fleet.isGone(item.name())
--- a/src/main/java/io/cherryspool/model/Rented.java
+++ b/src/main/java/io/cherryspool/model/RentedMachine.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /** A machine as the cloud's list tells it, some time late. */
-public record Rented(
+public record RentedMachine(
     String name,
     String address,
     String type,
--- a/src/main/java/io/cherryspool/wire/CloudWire.java
+++ b/src/main/java/io/cherryspool/wire/CloudWire.java
@@ -5,7 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.cherryspool.http.Request;
 import io.cherryspool.model.MachineType;
-import io.cherryspool.model.Rented;
+import io.cherryspool.model.RentedMachine;
 import io.cherryspool.model.Resources;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
@@ -17,7 +17,7 @@
   private CloudWire() {}
 
   /** One page of the machine list. */
-  public record Page(List<Rented> machines, boolean more) {}
+  public record Page(List<RentedMachine> machines, boolean more) {}
 
   public static Request catalog() {
     return Request.get("/catalog");
@@ -99,10 +99,10 @@
   }
 
   public static Page parsePage(JsonNode node) throws WireException {
-    List<Rented> machines = new ArrayList<>();
+    List<RentedMachine> machines = new ArrayList<>();
     for (JsonNode item : node.path("spindles")) {
       machines.add(
-          new Rented(
+          new RentedMachine(
               Json.text(item, "ref"),
               Json.textOrNull(item, "endpoint"),
               Json.text(item, "build"),
@@ -114,11 +114,11 @@
     return new Page(machines, node.path("has_next").asBoolean(false));
   }
 
-  private static Rented.Status status(String word) throws WireException {
+  private static RentedMachine.Status status(String word) throws WireException {
     return switch (word) {
-      case "booting" -> Rented.Status.BOOTING;
-      case "running" -> Rented.Status.RUNNING;
-      case "failed" -> Rented.Status.FAILED;
+      case "booting" -> RentedMachine.Status.BOOTING;
+      case "running" -> RentedMachine.Status.RUNNING;
+      case "failed" -> RentedMachine.Status.FAILED;
       default -> throw new WireException("status is unknown: " + word);
     };
   }
