--- a/src/main/java/io/cherryspool/controller/Provisioner.java
+++ b/src/main/java/io/cherryspool/controller/Provisioner.java
@@ -5,7 +5,7 @@
 import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.RentedMachine;
-import io.cherryspool.scheduler.FleetPlan;
+import io.cherryspool.scheduler.ScalingPlan;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -47,7 +47,7 @@
   private final Runnable listed;
   private final Map<String, RentedMachine> list = new HashMap<>();
   private final Map<String, Incoming> incoming = new HashMap<>();
-  private final Map<FleetPlan.Offer, Duration> soldOut = new HashMap<>();
+  private final Map<ScalingPlan.Offer, Duration> soldOut = new HashMap<>();
   private final Set<String> doomed = new LinkedHashSet<>();
   private Request repeat;
   private int counter;
@@ -59,10 +59,10 @@
   private EventLoop.Timer timer;
 
   /** A machine rented in this term that has not reported yet. */
-  private record Incoming(FleetPlan.Offer offer, Duration since) {}
+  private record Incoming(ScalingPlan.Offer offer, Duration since) {}
 
   /** A rental whose answer is not known; it goes again under the same name. */
-  private record Request(String name, FleetPlan.Offer offer, int count) {}
+  private record Request(String name, ScalingPlan.Offer offer, int count) {}
 
   Provisioner(
       EventLoop loop,
@@ -314,9 +314,9 @@
     }
     soldOut.values().removeIf(at -> now.minus(at).compareTo(SOLD_OUT) > 0);
     fleet.prune(ownership);
-    FleetPlan.Plan plan =
-        FleetPlan.of(
-            new FleetPlan.View(
+    ScalingPlan.Decision decision =
+        ScalingPlan.of(
+            new ScalingPlan.View(
                 workload.time(),
                 rounds.plan().unplaced(),
                 rounds.plan().displacing(),
@@ -327,25 +327,25 @@
                 soldOut.keySet(),
                 idleKeep));
     for (MachineState machine : fleet.all()) {
-      boolean closing = plan.closing().contains(machine.name);
+      boolean closing = decision.closing().contains(machine.name);
       if (closing != machine.closing) {
         machine.closing = closing;
         machine.view = null;
       }
     }
-    if (!plan.rentals().isEmpty()) {
-      Map.Entry<FleetPlan.Offer, Integer> first = plan.rentals().entrySet().iterator().next();
+    if (!decision.rentals().isEmpty()) {
+      Map.Entry<ScalingPlan.Offer, Integer> first = decision.rentals().entrySet().iterator().next();
       counter++;
       rent(
           new Request(
               prefix + counter, first.getKey(), Math.min(first.getValue(), MOST_PER_REQUEST)));
     } else {
-      plan.returns().forEach(name -> doom(name, "it has been idle"));
+      decision.returns().forEach(name -> doom(name, "it has been idle"));
     }
   }
 
   /** Machines on their way: rented in this term and not heard yet, or listed as booting. */
-  private List<FleetPlan.Offer> coming() {
+  private List<ScalingPlan.Offer> coming() {
     Map<String, MachineType> types = types();
     Duration now = loop.now();
     incoming
@@ -357,7 +357,7 @@
                       && now.minus(entry.getValue().since).compareTo(listLag.multipliedBy(4)) > 0;
               return fleet.hasHeard(entry.getKey()) || lost || fleet.isGone(entry.getKey());
             });
-    List<FleetPlan.Offer> result = new ArrayList<>();
+    List<ScalingPlan.Offer> result = new ArrayList<>();
     incoming.values().forEach(item -> result.add(item.offer));
     for (RentedMachine item : list.values()) {
       if (item.status() == RentedMachine.Status.BOOTING
@@ -365,7 +365,7 @@
           && !incoming.containsKey(item.name())
           && !fleet.isGone(item.name())
           && types.containsKey(item.type())) {
-        result.add(new FleetPlan.Offer(types.get(item.type()), item.zone(), item.spot()));
+        result.add(new ScalingPlan.Offer(types.get(item.type()), item.zone(), item.spot()));
       }
     }
     return result;
@@ -377,9 +377,9 @@
     return types;
   }
 
-  private List<FleetPlan.Up> up(Duration now) {
+  private List<ScalingPlan.Up> up(Duration now) {
     Map<String, MachineType> types = types();
-    List<FleetPlan.Up> result = new ArrayList<>();
+    List<ScalingPlan.Up> result = new ArrayList<>();
     for (MachineState machine : fleet.all()) {
       MachineType type = types.get(machine.type);
       if (type == null || machine.gone || machine.deleting || machine.latest == null) {
@@ -390,9 +390,9 @@
         used += owned.entry().job().perTask().cpus();
       }
       result.add(
-          new FleetPlan.Up(
+          new ScalingPlan.Up(
               machine.name,
-              new FleetPlan.Offer(type, machine.zone, machine.spot),
+              new ScalingPlan.Offer(type, machine.zone, machine.spot),
               used,
               machine.idleSince == null ? null : now.minus(machine.idleSince)));
     }
@@ -402,7 +402,7 @@
   private void rent(Request request) {
     busy = true;
     repeat = request;
-    FleetPlan.Offer offer = request.offer;
+    ScalingPlan.Offer offer = request.offer;
     cloud
         .rent(request.name, offer.type().name(), offer.zone(), offer.spot(), request.count)
         .whenComplete(
@@ -425,7 +425,7 @@
   }
 
   private void rented(Request request, List<String> names) {
-    FleetPlan.Offer offer = request.offer;
+    ScalingPlan.Offer offer = request.offer;
     LOG.info(
         "rented {} of {} {} in {}, spot {}, as {}",
         names.size(),
--- a/src/main/java/io/cherryspool/controller/Workload.java
+++ b/src/main/java/io/cherryspool/controller/Workload.java
@@ -1,7 +1,7 @@
 package io.cherryspool.controller;
 
 import io.cherryspool.model.Job;
-import io.cherryspool.scheduler.FleetPlan;
+import io.cherryspool.scheduler.ScalingPlan;
 import io.cherryspool.store.JobEntry;
 import io.cherryspool.store.Replica;
 import java.time.Duration;
@@ -94,12 +94,12 @@
     return wall.get();
   }
 
-  List<FleetPlan.Load> loads() {
+  List<ScalingPlan.Load> loads() {
     // No machine is rented for what does not seem to run anywhere.
     recent
         .values()
         .removeIf(entry -> age(entry.job()).compareTo(WINDOW) >= 0 || crashLooping(entry));
-    List<FleetPlan.Load> result = new ArrayList<>();
+    List<ScalingPlan.Load> result = new ArrayList<>();
     double all = 0;
     double lately = 0;
     Duration span = LEAST;
@@ -116,7 +116,7 @@
     for (JobEntry entry : recent.values()) {
       double work = work(entry.job(), entry.job().tasks());
       double cpus = entry.job().tasks() * entry.job().perTask().cpus();
-      result.add(new FleetPlan.Load(entry.job(), work * share, work * cpus * share, 0));
+      result.add(new ScalingPlan.Load(entry.job(), work * share, work * cpus * share, 0));
     }
     for (JobEntry entry : replica.active()) {
       if (entry.outcome() == null && !crashLooping(entry)) {
@@ -126,7 +126,7 @@
         int done = entry.doneCount() + PendingReleases.countDone(known);
         int waiting = entry.job().tasks() - done - running;
         if (waiting > 0) {
-          result.add(new FleetPlan.Load(entry.job(), 0, 0, work(entry.job(), waiting)));
+          result.add(new ScalingPlan.Load(entry.job(), 0, 0, work(entry.job(), waiting)));
         }
       }
     }
--- a/src/main/java/io/cherryspool/scheduler/FleetPlan.java
+++ b/src/main/java/io/cherryspool/scheduler/ScalingPlan.java
@@ -20,7 +20,7 @@
  * then is paid for nothing. Within that it rents the cheapest allowed machines for what found no
  * room, replaces ordinary machines by spot ones, and gives back what is beyond.
  */
-public final class FleetPlan {
+public final class ScalingPlan {
   /** The part of the fleet that the arriving work should fill at most. */
   private static final double FILL = 0.9;
 
@@ -72,7 +72,7 @@
   private final Map<Offer, Integer> counts = new LinkedHashMap<>();
   private final Map<Places, Need> needs = new HashMap<>();
 
-  private FleetPlan(View view) {
+  private ScalingPlan(View view) {
     this.view = view;
     for (Offer offer : view.incoming()) {
       bins.add(new Bin(offer));
@@ -83,17 +83,17 @@
   }
 
   /** What to rent, what to give back, and what is to run empty, so that it can go back. */
-  public record Plan(Map<Offer, Integer> rentals, List<String> returns, Set<String> closing) {}
+  public record Decision(Map<Offer, Integer> rentals, List<String> returns, Set<String> closing) {}
 
-  public static Plan of(View view) {
-    FleetPlan plan = new FleetPlan(view);
+  public static Decision of(View view) {
+    ScalingPlan plan = new ScalingPlan(view);
     for (RoundPlan.Unplaced item : view.unplaced()) {
       plan.pack(item.job(), item.tasks());
     }
     plan.makeWay();
     plan.renew();
     Set<String> closing = plan.closing();
-    return new Plan(plan.rentals, plan.returns(closing), closing);
+    return new Decision(plan.rentals, plan.returns(closing), closing);
   }
 
   private void count(Offer offer, int machines) {
