Rename Budget to RateLimiter

Log lines and the reason of a refusal speak of the write rate limit instead of the write budget. Two tests whose names spoke of the budget are renamed, and say the same.

--- a/src/main/java/io/cherryspool/controller/CatalogKeeper.java
+++ b/src/main/java/io/cherryspool/controller/CatalogKeeper.java
@@ -4,7 +4,7 @@
 import io.cherryspool.lifecycle.EventLoop;
 import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.model.MachineType;
-import io.cherryspool.store.Budget;
+import io.cherryspool.store.RateLimiter;
 import io.cherryspool.store.Records;
 import io.cherryspool.store.Replica;
 import io.cherryspool.store.StateClient;
@@ -30,7 +30,7 @@
   private final CloudClient cloud;
   private final Replica replica;
   private final StateClient client;
-  private final Budget budget;
+  private final RateLimiter rateLimiter;
   private final BooleanSupplier leading;
   private List<MachineType> known;
   private EventLoop.Timer timer;
@@ -40,13 +40,13 @@
       CloudClient cloud,
       Replica replica,
       StateClient client,
-      Budget budget,
+      RateLimiter rateLimiter,
       BooleanSupplier leading) {
     this.loop = loop;
     this.cloud = cloud;
     this.replica = replica;
     this.client = client;
-    this.budget = budget;
+    this.rateLimiter = rateLimiter;
     this.leading = leading;
   }
 
@@ -91,7 +91,7 @@
     }
     Map<String, Long> conditions =
         Map.of(Records.TERM, replica.termVersion(), Records.CATALOG, replica.catalogVersion());
-    budget.force(1);
+    rateLimiter.force(1);
     client
         .commit(
             conditions,
--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -12,8 +12,8 @@
 import io.cherryspool.mesh.Mesh;
 import io.cherryspool.model.Report;
 import io.cherryspool.model.Team;
-import io.cherryspool.store.Budget;
 import io.cherryspool.store.GroupCommit;
+import io.cherryspool.store.RateLimiter;
 import io.cherryspool.store.Records;
 import io.cherryspool.store.Replica;
 import io.cherryspool.store.StateClient;
@@ -59,7 +59,7 @@
   private final RedirectedWorkers redirectedWorkers = new RedirectedWorkers();
   private final LeadershipTransfer transfer;
   private final StateClient state;
-  private final Budget budget;
+  private final RateLimiter rateLimiter;
   private final Replica replica;
   private final Election election;
   private final CloudClient cloud;
@@ -94,15 +94,17 @@
     int nodes = settings.peers().size() + 1;
     transfer =
         new LeadershipTransfer(peers, timings, timings.stateLease().dividedBy(WORDS_PER_LEASE));
-    budget = new Budget(loop, nodes, limits.rps(), limits.writeRps());
-    state = new StateClient(loop, budget, given.transport(), settings.state(), timings.stateCall());
+    rateLimiter = new RateLimiter(loop, nodes, limits.rps(), limits.writeRps());
+    state =
+        new StateClient(
+            loop, rateLimiter, given.transport(), settings.state(), timings.stateCall());
     Duration refreshGap = Duration.ofNanos((long) (2e9 * nodes / limits.rps()));
-    replica = new Replica(loop, state, budget, refreshGap, timings.stateCall().dividedBy(2));
+    replica = new Replica(loop, state, rateLimiter, refreshGap, timings.stateCall().dividedBy(2));
     election =
         new Election(
             loop,
             state,
-            budget,
+            rateLimiter,
             replica,
             given.random(),
             timings,
@@ -110,10 +112,10 @@
             given.instance());
     cloud = new CloudClient(given.transport(), settings.cloud(), timings.cloudCall());
     workers = new WorkerClient(given.transport(), timings.workerCall());
-    catalog = new CatalogKeeper(loop, cloud, replica, state, budget, election::leading);
+    catalog = new CatalogKeeper(loop, cloud, replica, state, rateLimiter, election::leading);
     GroupCommit commits =
         new GroupCommit(
-            loop, state, budget, limits.txnOps(), 4 * limits.txnOps(), timings.stateCall());
+            loop, state, rateLimiter, limits.txnOps(), 4 * limits.txnOps(), timings.stateCall());
     users =
         new UserApi(
             replica,
@@ -139,7 +141,7 @@
     Gauge.builder("cherryspool.workers.redirected", () -> redirectedWorkers.count(loop.now()))
         .register(given.registry());
     Gauge.builder("cherryspool.changes.waiting", commits::waiting).register(given.registry());
-    Gauge.builder("cherryspool.changes.left", budget::left).register(given.registry());
+    Gauge.builder("cherryspool.changes.left", rateLimiter::left).register(given.registry());
   }
 
   @Override
@@ -185,7 +187,7 @@
   private void tick() {
     timer = loop.schedule(timings.stateLease().dividedBy(WORDS_PER_LEASE), this::tick);
     Duration now = loop.now();
-    int writes = (int) Math.ceil(10 * budget.lately());
+    int writes = (int) Math.ceil(10 * rateLimiter.lately());
     Duration read = replica.confirmed();
     int silence = read == null ? Integer.MAX_VALUE : (int) now.minus(read).toMillis();
     mesh.tell(
@@ -196,7 +198,7 @@
             silence,
             redirectedWorkers.count(now),
             writes));
-    budget.others(
+    rateLimiter.others(
         peers.since(timings.stateLease(), now).stream().mapToInt(Mesh.Word::writes).toArray());
     transfer.tick(now, leads());
     if (leaderTerm != null) {
@@ -229,10 +231,10 @@
     if (leaderTerm != null && (!leading || leaderTerm.term() != replica.term())) {
       leaderTerm.stop();
       leaderTerm = null;
-      budget.setLeader(false);
+      rateLimiter.setLeader(false);
     }
     if (leaderTerm == null && leading) {
-      budget.setLeader(true);
+      rateLimiter.setLeader(true);
       leaderTerm = newLeaderTerm();
       leaderTerm.start();
     }
@@ -240,7 +242,8 @@
 
   private LeaderTerm newLeaderTerm() {
     int maxChanges = settings.stateLimits().txnOps();
-    RoundWriter writer = new RoundWriter(loop, state, budget, maxChanges, replica.termVersion());
+    RoundWriter writer =
+        new RoundWriter(loop, state, rateLimiter, maxChanges, replica.termVersion());
     return new LeaderTerm(
         loop,
         replica,
--- a/src/main/java/io/cherryspool/controller/Election.java
+++ b/src/main/java/io/cherryspool/controller/Election.java
@@ -2,7 +2,7 @@
 
 import io.cherryspool.lifecycle.EventLoop;
 import io.cherryspool.lifecycle.Lifecycle;
-import io.cherryspool.store.Budget;
+import io.cherryspool.store.RateLimiter;
 import io.cherryspool.store.Records;
 import io.cherryspool.store.Replica;
 import io.cherryspool.store.StateClient;
@@ -26,7 +26,7 @@
 
   private final EventLoop loop;
   private final StateClient client;
-  private final Budget budget;
+  private final RateLimiter rateLimiter;
   private final Replica replica;
   private final RandomGenerator random;
   private final Timings timings;
@@ -45,7 +45,7 @@
   public Election(
       EventLoop loop,
       StateClient client,
-      Budget budget,
+      RateLimiter rateLimiter,
       Replica replica,
       RandomGenerator random,
       Timings timings,
@@ -53,7 +53,7 @@
       String instance) {
     this.loop = loop;
     this.client = client;
-    this.budget = budget;
+    this.rateLimiter = rateLimiter;
     this.replica = replica;
     this.random = random;
     this.timings = timings;
@@ -140,7 +140,7 @@
     yielding = true;
     long held = lease;
     Records.Successor record = new Records.Successor(replica.term(), successor, node);
-    budget.force(1);
+    rateLimiter.force(1);
     client
         .commit(
             Map.of(Records.TERM, replica.termVersion()),
@@ -151,7 +151,7 @@
               if (lease == held) {
                 lease = 0;
                 onChange.run();
-                budget.force(0);
+                rateLimiter.force(0);
                 client.end(held).exceptionally(again -> null);
               }
             });
@@ -182,7 +182,7 @@
   private void take() {
     Duration sent = loop.now();
     renewing = true;
-    budget.force(0);
+    rateLimiter.force(0);
     client
         .lease(timings.stateLease())
         .whenComplete(
@@ -200,7 +200,7 @@
     Duration sent = loop.now();
     long held = lease;
     renewing = true;
-    budget.force(0);
+    rateLimiter.force(0);
     client
         .extend(held)
         .whenComplete(
@@ -231,7 +231,7 @@
       // The process that held this lease has ended, since this one runs in its place.
       LOG.info("ending lease {} of an earlier process of this node", leader.lease());
       standing = true;
-      budget.force(0);
+      rateLimiter.force(0);
       client.end(leader.lease()).whenComplete((nothing, failure) -> settled());
     }
   }
@@ -246,7 +246,7 @@
     Map<String, Long> conditions = new LinkedHashMap<>();
     conditions.put(Records.LEADER, 0L);
     conditions.put(Records.TERM, replica.termVersion());
-    budget.force(2);
+    rateLimiter.force(2);
     LOG.info("standing for leader in term {}", term);
     client
         .commit(
--- a/src/main/java/io/cherryspool/controller/RoundEdits.java
+++ b/src/main/java/io/cherryspool/controller/RoundEdits.java
@@ -3,8 +3,8 @@
 import io.cherryspool.model.Outcome;
 import io.cherryspool.model.Priority;
 import io.cherryspool.model.Shard;
-import io.cherryspool.store.Budget;
 import io.cherryspool.store.JobEntry;
+import io.cherryspool.store.RateLimiter;
 import io.cherryspool.store.Records;
 import io.cherryspool.wire.StateWire;
 import java.time.Duration;
@@ -151,7 +151,7 @@
                       new StateWire.Change(
                           Records.progress(id, index), over ? null : Records.shard(shard), 0)),
                   Records.sizeOf(shard),
-                  assigns || ending || edit.late ? use(entry) : Budget.Use.LATER);
+                  assigns || ending || edit.late ? use(entry) : RateLimiter.Use.LATER);
           (assigns ? ranks.starts : ending ? ranks.ends : rest).add(unit);
         });
   }
@@ -176,8 +176,8 @@
         use(entry));
   }
 
-  private static Budget.Use use(JobEntry entry) {
-    return idle(entry) ? Budget.Use.IDLE : Budget.Use.ROUND;
+  private static RateLimiter.Use use(JobEntry entry) {
+    return idle(entry) ? RateLimiter.Use.IDLE : RateLimiter.Use.ROUND;
   }
 
   /** Ends jobs whose last shards were committed apart, and removes records of ended jobs. */
@@ -201,7 +201,7 @@
                   Map.of(Records.progress(id, index), item.version()),
                   List.of(new StateWire.Change(Records.progress(id, index), null, 0)),
                   0,
-                  Budget.Use.LATER));
+                  RateLimiter.Use.LATER));
         }
       }
     }
--- a/src/main/java/io/cherryspool/controller/RoundWriter.java
+++ b/src/main/java/io/cherryspool/controller/RoundWriter.java
@@ -1,7 +1,7 @@
 package io.cherryspool.controller;
 
 import io.cherryspool.lifecycle.EventLoop;
-import io.cherryspool.store.Budget;
+import io.cherryspool.store.RateLimiter;
 import io.cherryspool.store.Records;
 import io.cherryspool.store.StateClient;
 import io.cherryspool.store.StateException;
@@ -30,19 +30,27 @@
 
   private final EventLoop loop;
   private final StateClient client;
-  private final Budget budget;
+  private final RateLimiter rateLimiter;
   private final int maxChanges;
   private final long termVersion;
   private boolean stopped;
 
   /** Changes that are committed together or not at all; {@code bytes} is what their values take. */
   record Unit(
-      Map<String, Long> conditions, List<StateWire.Change> changes, int bytes, Budget.Use use) {}
+      Map<String, Long> conditions,
+      List<StateWire.Change> changes,
+      int bytes,
+      RateLimiter.Use use) {}
 
-  RoundWriter(EventLoop loop, StateClient client, Budget budget, int maxChanges, long termVersion) {
+  RoundWriter(
+      EventLoop loop,
+      StateClient client,
+      RateLimiter rateLimiter,
+      int maxChanges,
+      long termVersion) {
     this.loop = loop;
     this.client = client;
-    this.budget = budget;
+    this.rateLimiter = rateLimiter;
     this.maxChanges = maxChanges;
     this.termVersion = termVersion;
   }
@@ -52,8 +60,8 @@
   }
 
   /**
-   * Sends as many units as the budget allows, in order. Returns how many; {@code done} runs when
-   * all of their outcomes are certain, and not at all when none was sent.
+   * Sends as many units as the rate limit allows, in order. Returns how many; {@code done} runs
+   * when all of their outcomes are certain, and not at all when none was sent.
    */
   int write(List<Unit> units, Runnable done) {
     List<List<Unit>> transactions = new ArrayList<>();
@@ -70,14 +78,14 @@
               || conditions + unit.conditions.size() > CONDITIONS * maxChanges
               || bytes + size > MAX_BYTES;
       if (full && !batch.isEmpty()) {
-        budget.force(changes);
+        rateLimiter.force(changes);
         batch = new ArrayList<>();
         changes = 0;
         conditions = 1;
         bytes = 0;
       }
       // As many as may go now, and not a batch of the largest size later: starts wait for it.
-      if (!budget.allows(unit.use, changes, count)) {
+      if (!rateLimiter.allows(unit.use, changes, count)) {
         break;
       }
       if (batch.isEmpty()) {
@@ -90,7 +98,7 @@
       taken++;
     }
     if (!batch.isEmpty()) {
-      budget.force(changes);
+      rateLimiter.force(changes);
     }
     int[] open = {transactions.size()};
     for (List<Unit> transaction : transactions) {
@@ -135,13 +143,13 @@
               boolean refused =
                   kind == StateException.Kind.BUSY || kind == StateException.Kind.REFUSED;
               if (kind == StateException.Kind.BUSY) {
-                budget.drain();
+                rateLimiter.drain();
               }
               if (kind == StateException.Kind.UNKNOWN || open && refused) {
                 loop.schedule(
                     AGAIN,
                     () -> {
-                      budget.force(changes.size());
+                      rateLimiter.force(changes.size());
                       send(conditions, changes, true, certain);
                     });
                 return;
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -8,8 +8,8 @@
 import io.cherryspool.scheduler.ClusterView;
 import io.cherryspool.scheduler.Placement;
 import io.cherryspool.scheduler.RoundPlan;
-import io.cherryspool.store.Budget;
 import io.cherryspool.store.JobEntry;
+import io.cherryspool.store.RateLimiter;
 import io.cherryspool.store.Replica;
 import java.time.Duration;
 import java.time.Instant;
@@ -234,8 +234,10 @@
     }
     if (sent < units.size()) {
       LOG.debug(
-          "the write budget leaves {} of {} changes for later", units.size() - sent, units.size());
-      if (units.get(sent).use() == Budget.Use.ROUND) {
+          "the write rate limit leaves {} of {} changes for later",
+          units.size() - sent,
+          units.size());
+      if (units.get(sent).use() == RateLimiter.Use.ROUND) {
         Duration pause = lastCost.multipliedBy(COST_SHARE);
         timer = loop.schedule(pause.compareTo(SPENT) > 0 ? pause : SPENT, this::run);
       }
--- a/src/main/java/io/cherryspool/controller/UserApi.java
+++ b/src/main/java/io/cherryspool/controller/UserApi.java
@@ -7,9 +7,9 @@
 import io.cherryspool.model.Outcome;
 import io.cherryspool.model.Team;
 import io.cherryspool.scheduler.Rules;
-import io.cherryspool.store.Budget;
 import io.cherryspool.store.GroupCommit;
 import io.cherryspool.store.JobEntry;
+import io.cherryspool.store.RateLimiter;
 import io.cherryspool.store.Records;
 import io.cherryspool.store.Replica;
 import io.cherryspool.wire.JobWire;
@@ -100,7 +100,7 @@
     }
     return commits
         .submit(
-            Budget.Use.SUBMIT,
+            RateLimiter.Use.SUBMIT,
             Map.of(Records.job(id), 0L),
             new StateWire.Change(Records.job(id), record, 0))
         .thenCompose(
@@ -163,7 +163,7 @@
               }
               return commits
                   .submit(
-                      Budget.Use.CANCEL,
+                      RateLimiter.Use.CANCEL,
                       Map.of(Records.outcome(id), 0L),
                       new StateWire.Change(
                           Records.outcome(id), Records.outcome(Outcome.CANCELLED), 0))
--- a/src/main/java/io/cherryspool/store/GroupCommit.java
+++ b/src/main/java/io/cherryspool/store/GroupCommit.java
@@ -15,9 +15,9 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Puts the single changes that users' requests make into shared transactions, within the write
- * budget. A change that can't be taken is refused at once, so that its user can be told when to
- * come back.
+ * Puts the single changes that users' requests make into shared transactions, within the write rate
+ * limit. A change that can't be taken is refused at once, so that its user can be told when to come
+ * back.
  */
 public final class GroupCommit {
   private static final int MAX_BYTES = 60_000;
@@ -25,7 +25,7 @@
 
   private final EventLoop loop;
   private final StateClient client;
-  private final Budget budget;
+  private final RateLimiter rateLimiter;
   private final int maxChanges;
   private final int maxQueue;
   private final Duration patience;
@@ -45,13 +45,13 @@
   public GroupCommit(
       EventLoop loop,
       StateClient client,
-      Budget budget,
+      RateLimiter rateLimiter,
       int maxChanges,
       int maxQueue,
       Duration patience) {
     this.loop = loop;
     this.client = client;
-    this.budget = budget;
+    this.rateLimiter = rateLimiter;
     this.maxChanges = maxChanges;
     this.maxQueue = maxQueue;
     this.patience = patience;
@@ -62,9 +62,9 @@
    * include the version of the key that is changed, so that of two changes of it one is applied.
    */
   public CompletableFuture<Boolean> submit(
-      Budget.Use use, Map<String, Long> conditions, StateWire.Change change) {
+      RateLimiter.Use use, Map<String, Long> conditions, StateWire.Change change) {
     CompletableFuture<Boolean> result = new CompletableFuture<>();
-    Deque<Item> queue = use == Budget.Use.CANCEL ? cancels : submissions;
+    Deque<Item> queue = use == RateLimiter.Use.CANCEL ? cancels : submissions;
     if (queue.size() >= maxQueue) {
       result.completeExceptionally(refused("too many changes wait"));
       return result;
@@ -90,11 +90,11 @@
     if (queue.isEmpty()) {
       return;
     }
-    Budget.Use use = queue == cancels ? Budget.Use.CANCEL : Budget.Use.SUBMIT;
+    RateLimiter.Use use = queue == cancels ? RateLimiter.Use.CANCEL : RateLimiter.Use.SUBMIT;
     List<Item> batch = new ArrayList<>();
     Set<String> keys = new HashSet<>();
     int bytes = 0;
-    int limit = Math.min(maxChanges, budget.largest(use));
+    int limit = Math.min(maxChanges, rateLimiter.largest(use));
     for (Item item : queue) {
       if (keys.contains(item.change.key())) {
         continue;
@@ -106,7 +106,7 @@
       keys.add(item.change.key());
       bytes += item.bytes;
     }
-    while (!batch.isEmpty() && !budget.takeWrites(use, batch.size())) {
+    while (!batch.isEmpty() && !rateLimiter.takeWrites(use, batch.size())) {
       keys.remove(batch.remove(batch.size() - 1).change.key());
     }
     if (batch.isEmpty()) {
@@ -149,7 +149,7 @@
               busy = false;
               if (failure != null && StateException.kindOf(failure) == StateException.Kind.BUSY) {
                 // The nodes' shares overlap, so that now and then they meet the limit together.
-                budget.drain();
+                rateLimiter.drain();
                 again(queue, all);
               } else if (failure != null) {
                 all.forEach(item -> item.result.completeExceptionally(failure));
@@ -173,7 +173,8 @@
       (named ? failed : others).add(item);
     }
     if (failed.isEmpty()) {
-      // Sent again unchanged it would fail again, over and over, at the cost of all nodes' budget.
+      // Sent again unchanged it would fail again, over and over, at the cost of all nodes' rate
+      // limit.
       StateException unclear =
           new StateException(StateException.Kind.UNKNOWN, "a conflict that names no condition");
       all.forEach(item -> item.result.completeExceptionally(unclear));
@@ -192,7 +193,7 @@
   private void expire(Deque<Item> queue) {
     Duration limit = loop.now().minus(patience);
     while (!queue.isEmpty() && queue.peekFirst().since.compareTo(limit) < 0) {
-      queue.removeFirst().result.completeExceptionally(refused("the write budget is spent"));
+      queue.removeFirst().result.completeExceptionally(refused("the write rate limit is spent"));
     }
   }
 
--- a/src/main/java/io/cherryspool/store/Budget.java
+++ b/src/main/java/io/cherryspool/store/RateLimiter.java
@@ -11,7 +11,7 @@
  * held back, cancels before submissions, submissions before rounds, idle work and what can wait
  * after those.
  */
-public final class Budget {
+public final class RateLimiter {
   private static final double MARGIN = 0.95;
   private static final double LEADER_WRITES = 0.8;
 
@@ -52,7 +52,7 @@
   private double others;
   private Duration filled;
 
-  public Budget(EventLoop loop, int nodes, double rps, double writeRps) {
+  public RateLimiter(EventLoop loop, int nodes, double rps, double writeRps) {
     this.loop = loop;
     this.nodes = nodes;
     this.allWrites = writeRps * MARGIN;
--- a/src/main/java/io/cherryspool/store/Replica.java
+++ b/src/main/java/io/cherryspool/store/Replica.java
@@ -37,7 +37,7 @@
 
   private final EventLoop loop;
   private final StateClient client;
-  private final Budget budget;
+  private final RateLimiter rateLimiter;
   private final Duration refreshGap;
   private final Duration slow;
   private final List<Runnable> listeners = new ArrayList<>();
@@ -65,10 +65,14 @@
   private EventLoop.Timer watchTimer;
 
   public Replica(
-      EventLoop loop, StateClient client, Budget budget, Duration refreshGap, Duration slow) {
+      EventLoop loop,
+      StateClient client,
+      RateLimiter rateLimiter,
+      Duration refreshGap,
+      Duration slow) {
     this.loop = loop;
     this.client = client;
-    this.budget = budget;
+    this.rateLimiter = rateLimiter;
     this.refreshGap = refreshGap;
     this.slow = slow;
     this.lastReading = loop.now().minus(refreshGap);
@@ -212,7 +216,7 @@
   }
 
   private void read() {
-    if (!budget.takeRead()) {
+    if (!rateLimiter.takeRead()) {
       readTimer = loop.schedule(refreshGap, this::readNow);
       return;
     }
@@ -266,7 +270,7 @@
         load();
       }
     } else if (kind == StateException.Kind.BUSY) {
-      budget.drain();
+      rateLimiter.drain();
     }
   }
 
@@ -275,7 +279,7 @@
     if (!running || loading) {
       return;
     }
-    budget.force(0);
+    rateLimiter.force(0);
     long after = revision;
     client
         .follow(Records.PREFIX, after, WATCH)
@@ -330,7 +334,7 @@
     if (!running) {
       return;
     }
-    budget.force(0);
+    rateLimiter.force(0);
     client
         .list(Records.PREFIX, after)
         .whenComplete(
@@ -353,7 +357,7 @@
     if (!running) {
       return;
     }
-    budget.force(0);
+    rateLimiter.force(0);
     Duration sent = loop.now();
     client
         .follow(Records.PREFIX, from, Duration.ZERO)
--- a/src/main/java/io/cherryspool/store/StateClient.java
+++ b/src/main/java/io/cherryspool/store/StateClient.java
@@ -21,15 +21,19 @@
   private static final int IMPATIENCE = 4;
 
   private final EventLoop loop;
-  private final Budget budget;
+  private final RateLimiter rateLimiter;
   private final Transport transport;
   private final Endpoint service;
   private final Duration deadline;
 
   public StateClient(
-      EventLoop loop, Budget budget, Transport transport, Endpoint service, Duration deadline) {
+      EventLoop loop,
+      RateLimiter rateLimiter,
+      Transport transport,
+      Endpoint service,
+      Duration deadline) {
     this.loop = loop;
-    this.budget = budget;
+    this.rateLimiter = rateLimiter;
     this.transport = transport;
     this.service = service;
     this.deadline = deadline;
@@ -53,8 +57,8 @@
             deadline.dividedBy(IMPATIENCE),
             () -> {
               if (!transaction.result.isDone()
-                  && budget.allows(Budget.Use.CANCEL, 0, changes.size())) {
-                budget.force(changes.size());
+                  && rateLimiter.allows(RateLimiter.Use.CANCEL, 0, changes.size())) {
+                rateLimiter.force(changes.size());
                 transaction.send();
               }
             });
--- a/src/test/java/io/cherryspool/controller/RoundEditsTest.java
+++ b/src/test/java/io/cherryspool/controller/RoundEditsTest.java
@@ -8,9 +8,9 @@
 import io.cherryspool.model.JobFixture;
 import io.cherryspool.model.Priority;
 import io.cherryspool.model.TaskId;
-import io.cherryspool.store.Budget;
 import io.cherryspool.store.JobEntry;
 import io.cherryspool.store.JobEntryFixture;
+import io.cherryspool.store.RateLimiter;
 import io.cherryspool.store.Records;
 import io.cherryspool.wire.StateWire;
 import java.time.Duration;
@@ -60,11 +60,11 @@
   }
 
   @Test
-  void itWaitsAsLongAsTheBudgetIsShortButNotForGood() {
+  void itWaitsAsLongAsWritesAreLimitedButNotForGood() {
     ended(0, ReleaseEvidence.Verdict.DONE, 99);
-    assertEquals(Budget.Use.LATER, units(edits()).get(0).use());
+    assertEquals(RateLimiter.Use.LATER, units(edits()).get(0).use());
     ended(1, ReleaseEvidence.Verdict.FAILED, 79);
-    assertEquals(Budget.Use.ROUND, units(edits()).get(0).use());
+    assertEquals(RateLimiter.Use.ROUND, units(edits()).get(0).use());
   }
 
   /** The freed task is planned again before its release is written. */
@@ -97,6 +97,6 @@
         "one change ends a job");
     assertEquals(0L, units.get(0).conditions().get(Records.outcome(ID)), "unless it is cancelled");
     assertEquals(7L, units.get(0).conditions().get(Records.progress(ID, 0)));
-    assertEquals(Budget.Use.ROUND, units.get(0).use());
+    assertEquals(RateLimiter.Use.ROUND, units.get(0).use());
   }
 }
--- a/src/test/java/io/cherryspool/controller/RoundWriterTest.java
+++ b/src/test/java/io/cherryspool/controller/RoundWriterTest.java
@@ -9,7 +9,7 @@
 import io.cherryspool.sim.StateLine;
 import io.cherryspool.sim.StateLine.Fate;
 import io.cherryspool.sim.VirtualTime;
-import io.cherryspool.store.Budget;
+import io.cherryspool.store.RateLimiter;
 import io.cherryspool.store.StateClient;
 import io.cherryspool.wire.Json;
 import io.cherryspool.wire.StateWire;
@@ -28,10 +28,10 @@
   private final VirtualTime time = new VirtualTime();
   private final StandInState state = new StandInState(time, new SplittableRandom(1), 0);
   private final StateLine line = new StateLine(time, state);
-  private final Budget budget = new Budget(time, 1, 1000, 1000);
+  private final RateLimiter rateLimiter = new RateLimiter(time, 1, 1000, 1000);
   private final StateClient client =
-      new StateClient(time, budget, line, new Endpoint("127.0.0.1", 1), Duration.ofSeconds(1));
-  private final RoundWriter writer = new RoundWriter(time, client, budget, 8, 0);
+      new StateClient(time, rateLimiter, line, new Endpoint("127.0.0.1", 1), Duration.ofSeconds(1));
+  private final RoundWriter writer = new RoundWriter(time, client, rateLimiter, 8, 0);
   private int certain;
 
   private void run(double seconds) {
@@ -44,7 +44,7 @@
   private void write() {
     StateWire.Change change = new StateWire.Change(SHARD, Json.object().put("x", 1), 0);
     RoundWriter.Unit unit =
-        new RoundWriter.Unit(Map.of(SHARD, 0L), List.of(change), 20, Budget.Use.ROUND);
+        new RoundWriter.Unit(Map.of(SHARD, 0L), List.of(change), 20, RateLimiter.Use.ROUND);
     writer.write(List.of(unit), () -> certain++);
   }
 
--- a/src/test/java/io/cherryspool/controller/UserApiTest.java
+++ b/src/test/java/io/cherryspool/controller/UserApiTest.java
@@ -19,8 +19,8 @@
 import io.cherryspool.sim.StateLine;
 import io.cherryspool.sim.StateLine.Fate;
 import io.cherryspool.sim.VirtualTime;
-import io.cherryspool.store.Budget;
 import io.cherryspool.store.GroupCommit;
+import io.cherryspool.store.RateLimiter;
 import io.cherryspool.store.Records;
 import io.cherryspool.store.Replica;
 import io.cherryspool.store.StateClient;
@@ -63,10 +63,11 @@
     private boolean behind;
 
     Node() {
-      Budget budget = new Budget(time, 1, 1000, 1000);
-      StateClient client = new StateClient(time, budget, line, new Endpoint("127.0.0.1", 1), CALL);
-      replica = new Replica(time, client, budget, Duration.ofMillis(5), CALL.dividedBy(2));
-      GroupCommit commits = new GroupCommit(time, client, budget, 8, 32, CALL);
+      RateLimiter rateLimiter = new RateLimiter(time, 1, 1000, 1000);
+      StateClient client =
+          new StateClient(time, rateLimiter, line, new Endpoint("127.0.0.1", 1), CALL);
+      replica = new Replica(time, client, rateLimiter, Duration.ofMillis(5), CALL.dividedBy(2));
+      GroupCommit commits = new GroupCommit(time, client, rateLimiter, 8, 32, CALL);
       users =
           new UserApi(
               replica,
--- a/src/test/java/io/cherryspool/store/GroupCommitTest.java
+++ b/src/test/java/io/cherryspool/store/GroupCommitTest.java
@@ -32,7 +32,7 @@
   private final StateClient client =
       new StateClient(
           time,
-          new Budget(time, 1, 1000, 1000),
+          new RateLimiter(time, 1, 1000, 1000),
           (to, request, deadline) -> {
             CompletableFuture<Reply> result = new CompletableFuture<>();
             if (swallow) {
@@ -48,18 +48,18 @@
           Duration.ofSeconds(1));
 
   private GroupCommit commits(double writeRps, int maxQueue) {
-    Budget budget = new Budget(time, 1, 1000, writeRps);
-    return new GroupCommit(time, client, budget, 8, maxQueue, Duration.ofSeconds(1));
+    RateLimiter rateLimiter = new RateLimiter(time, 1, 1000, writeRps);
+    return new GroupCommit(time, client, rateLimiter, 8, maxQueue, Duration.ofSeconds(1));
   }
 
   private final StateLine line = new StateLine(time, state);
 
   /** On a line of which single messages can be decided on. */
   private GroupCommit lined() {
-    Budget budget = new Budget(time, 1, 1000, 1000);
+    RateLimiter rateLimiter = new RateLimiter(time, 1, 1000, 1000);
     Endpoint service = new Endpoint("127.0.0.1", 1);
-    StateClient to = new StateClient(time, budget, line, service, Duration.ofSeconds(1));
-    return new GroupCommit(time, to, budget, 8, 100, Duration.ofSeconds(1));
+    StateClient to = new StateClient(time, rateLimiter, line, service, Duration.ofSeconds(1));
+    return new GroupCommit(time, to, rateLimiter, 8, 100, Duration.ofSeconds(1));
   }
 
   private List<CompletableFuture<Boolean>> putAll(GroupCommit commits, String... keys) {
@@ -72,7 +72,7 @@
 
   private static CompletableFuture<Boolean> put(GroupCommit commits, String key) {
     return commits.submit(
-        Budget.Use.SUBMIT,
+        RateLimiter.Use.SUBMIT,
         Map.of(key, 0L),
         new StateWire.Change(key, Json.object().put("x", 1), 0));
   }
@@ -100,7 +100,7 @@
 
   /** Users are told to come back at once rather than held until their deadline. */
   @Test
-  void whatTheBudgetCantTakeIsRefusedWithinASecond() {
+  void whatTheRateLimiterCantTakeIsRefusedWithinASecond() {
     GroupCommit commits = commits(5, 20);
     List<CompletableFuture<Boolean>> results = new ArrayList<>();
     for (int i = 0; i < 100; i++) {
--- a/src/test/java/io/cherryspool/store/ReplicaTest.java
+++ b/src/test/java/io/cherryspool/store/ReplicaTest.java
@@ -30,11 +30,11 @@
   private final VirtualTime time = new VirtualTime();
   private final StandInState state = new StandInState(time, new SplittableRandom(1), 0);
   private final StateLine line = new StateLine(time, state);
-  private final Budget budget = new Budget(time, 1, 1000, 1000);
+  private final RateLimiter rateLimiter = new RateLimiter(time, 1, 1000, 1000);
   private final StateClient client =
-      new StateClient(time, budget, line, new Endpoint("127.0.0.1", 1), CALL);
+      new StateClient(time, rateLimiter, line, new Endpoint("127.0.0.1", 1), CALL);
   private final Replica replica =
-      new Replica(time, client, budget, Duration.ofMillis(5), CALL.dividedBy(2));
+      new Replica(time, client, rateLimiter, Duration.ofMillis(5), CALL.dividedBy(2));
 
   private void run(double seconds) {
     Duration end = time.now().plusMillis((long) (seconds * 1000));
