--- a/src/main/java/io/cherryspool/cli/Rehearsal.java
+++ b/src/main/java/io/cherryspool/cli/Rehearsal.java
@@ -67,7 +67,8 @@
     server.bind(any);
     Endpoint self = new Endpoint("127.0.0.1", server.port());
     services[0] = new RehearsalServices(self);
-    NettyMesh mesh = new NettyMesh(loop, List.of(self), word -> controller[0].heard(word));
+    NettyMesh mesh =
+        new NettyMesh(loop, List.of(self), heartbeat -> controller[0].receive(heartbeat));
     NettyClient client = new NettyClient(loop, SOCKETS);
     controller[0] =
         Server.controller(
@@ -77,7 +78,7 @@
             mesh,
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
     loop.execute(controller[0]::start);
-    loop.execute(() -> mesh.tell(new Mesh.Word("rehearsal", 1, true, 0, 0, 0)));
+    loop.execute(() -> mesh.broadcast(new Mesh.Heartbeat("rehearsal", 1, true, 0, 0, 0)));
     play(request -> ask(loop, client, self, request), services[0]);
     loadOwnClasses();
     loop.execute(controller[0]::stop);
--- a/src/main/java/io/cherryspool/cli/Server.java
+++ b/src/main/java/io/cherryspool/cli/Server.java
@@ -72,7 +72,7 @@
         new NettyMesh(
             loop,
             platform.peers().stream().map(Settings.Peer::endpoint).toList(),
-            word -> controller[0].heard(word));
+            heartbeat -> controller[0].receive(heartbeat));
     PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     controller[0] = controller(platform, settings.operators(), loop, mesh, registry);
     int connections = (int) (platform.fdLimit() * (1 - OWN_SOCKETS));
--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -44,7 +44,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
   private static final String JOBS = "/api/jobs";
   private static final String CANCEL = "/withdraw";
-  private static final int WORDS_PER_LEASE = 8;
+  private static final int HEARTBEATS_PER_LEASE = 8;
 
   private final EventLoop loop;
   private final Settings settings;
@@ -93,7 +93,8 @@
     Settings.StateLimits limits = settings.stateLimits();
     int nodes = settings.peers().size() + 1;
     transfer =
-        new LeadershipTransfer(peers, timings, timings.stateLease().dividedBy(WORDS_PER_LEASE));
+        new LeadershipTransfer(
+            peers, timings, timings.stateLease().dividedBy(HEARTBEATS_PER_LEASE));
     rateLimiter = new RateLimiter(loop, nodes, limits.rps(), limits.writeRps());
     state =
         new StateClient(
@@ -178,20 +179,20 @@
     return leaderTerm != null && election.authorized();
   }
 
-  /** Word from another node. */
-  public void heard(Mesh.Word word) {
-    election.hear(word.term());
-    peers.heard(word, loop.now());
+  /** Takes in a heartbeat from another node. */
+  public void receive(Mesh.Heartbeat heartbeat) {
+    election.hear(heartbeat.term());
+    peers.receive(heartbeat, loop.now());
   }
 
   private void tick() {
-    timer = loop.schedule(timings.stateLease().dividedBy(WORDS_PER_LEASE), this::tick);
+    timer = loop.schedule(timings.stateLease().dividedBy(HEARTBEATS_PER_LEASE), this::tick);
     Duration now = loop.now();
     int writes = (int) Math.ceil(10 * rateLimiter.lately());
     Duration read = replica.confirmed();
     int silence = read == null ? Integer.MAX_VALUE : (int) now.minus(read).toMillis();
-    mesh.tell(
-        new Mesh.Word(
+    mesh.broadcast(
+        new Mesh.Heartbeat(
             settings.name(),
             replica.term(),
             reachesState(),
@@ -199,7 +200,7 @@
             redirectedWorkers.count(now),
             writes));
     rateLimiter.others(
-        peers.since(timings.stateLease(), now).stream().mapToInt(Mesh.Word::writes).toArray());
+        peers.since(timings.stateLease(), now).stream().mapToInt(Mesh.Heartbeat::writes).toArray());
     transfer.tick(now, leads());
     if (leaderTerm != null) {
       LeaderTerm.Reach reach = leaderTerm.reach();
@@ -309,9 +310,9 @@
    * others say the same stays ready; one that hears nobody is rather cut off itself.
    */
   private Reply ready() {
-    List<Mesh.Word> others = peers.since(timings.stateLease(), loop.now());
+    List<Mesh.Heartbeat> others = peers.since(timings.stateLease(), loop.now());
     boolean outage =
-        others.stream().noneMatch(Mesh.Word::state)
+        others.stream().noneMatch(Mesh.Heartbeat::state)
             && (!others.isEmpty() || settings.peers().isEmpty());
     boolean ready = replica.loaded() && (reachesState() || outage) && !behind();
     return Reply.json(ready ? 200 : 503, JobWire.error(ready ? "none" : "not ready"));
--- a/src/main/java/io/cherryspool/controller/LeadershipTransfer.java
+++ b/src/main/java/io/cherryspool/controller/LeadershipTransfer.java
@@ -29,7 +29,7 @@
   private Duration steadySince = Duration.ZERO;
 
   /**
-   * @param period how often the nodes tell one another
+   * @param period how often the nodes send heartbeats
    */
   LeadershipTransfer(Peers peers, Timings timings, Duration period) {
     this.peers = peers;
@@ -69,16 +69,19 @@
         || now.minus(steadySince).compareTo(calm) < 0) {
       return null;
     }
-    List<Mesh.Word> words = peers.since(period.multipliedBy(3), now);
-    if (words.isEmpty()) {
+    List<Mesh.Heartbeat> heartbeats = peers.since(period.multipliedBy(3), now);
+    if (heartbeats.isEmpty()) {
       return reach.lost() * 2 >= reach.known() && peers.known() ? ANYBODY : null;
     }
-    Mesh.Word best = null;
+    Mesh.Heartbeat best = null;
     int redirectedWorkers = 0;
-    for (Mesh.Word word : words) {
-      if (word.state() && word.redirectedWorkers() > 0) {
-        redirectedWorkers += word.redirectedWorkers();
-        best = best == null || word.redirectedWorkers() > best.redirectedWorkers() ? word : best;
+    for (Mesh.Heartbeat heartbeat : heartbeats) {
+      if (heartbeat.state() && heartbeat.redirectedWorkers() > 0) {
+        redirectedWorkers += heartbeat.redirectedWorkers();
+        best =
+            best == null || heartbeat.redirectedWorkers() > best.redirectedWorkers()
+                ? heartbeat
+                : best;
       }
     }
     return redirectedWorkers * 2 >= reach.lost() && best != null ? best.node() : null;
--- a/src/main/java/io/cherryspool/controller/Peers.java
+++ b/src/main/java/io/cherryspool/controller/Peers.java
@@ -7,38 +7,41 @@
 import java.util.List;
 import java.util.Map;
 
-/** What the other nodes said last, and when. Nothing here is proof of anything. */
+/** The other nodes' latest heartbeats, and when they came. Nothing here is proof of anything. */
 final class Peers {
-  private final Map<String, Said> words = new HashMap<>();
+  private final Map<String, Received> heartbeats = new HashMap<>();
 
-  private record Said(Mesh.Word word, Duration at) {}
+  private record Received(Mesh.Heartbeat heartbeat, Duration at) {}
 
-  void heard(Mesh.Word word, Duration now) {
-    words.put(word.node(), new Said(word, now));
+  void receive(Mesh.Heartbeat heartbeat, Duration now) {
+    heartbeats.put(heartbeat.node(), new Received(heartbeat, now));
   }
 
-  /** Whether any node was ever heard. */
+  /** Whether a heartbeat of any node ever arrived. */
   boolean known() {
-    return !words.isEmpty();
+    return !heartbeats.isEmpty();
   }
 
-  /** When the latest reading of the state was sent by any of them, as far as they said lately. */
+  /**
+   * When the latest reading of the state was sent by any of them, as far as their heartbeats are
+   * fresh.
+   */
   Duration lastReading(Duration limit, Duration now) {
     Duration last = null;
-    for (Said said : words.values()) {
-      Duration at = said.at.minusMillis(said.word.silence());
-      boolean fresh = now.minus(said.at).compareTo(limit) < 0 && said.word.state();
+    for (Received received : heartbeats.values()) {
+      Duration at = received.at.minusMillis(received.heartbeat.silence());
+      boolean fresh = now.minus(received.at).compareTo(limit) < 0 && received.heartbeat.state();
       last = fresh && (last == null || at.compareTo(last) > 0) ? at : last;
     }
     return last;
   }
 
-  /** What was said no longer ago than this. */
-  List<Mesh.Word> since(Duration limit, Duration now) {
-    List<Mesh.Word> result = new ArrayList<>();
-    for (Said said : words.values()) {
-      if (now.minus(said.at).compareTo(limit) < 0) {
-        result.add(said.word);
+  /** The heartbeats received no longer ago than this. */
+  List<Mesh.Heartbeat> since(Duration limit, Duration now) {
+    List<Mesh.Heartbeat> result = new ArrayList<>();
+    for (Received received : heartbeats.values()) {
+      if (now.minus(received.at).compareTo(limit) < 0) {
+        result.add(received.heartbeat);
       }
     }
     return result;
--- a/src/main/java/io/cherryspool/mesh/Mesh.java
+++ b/src/main/java/io/cherryspool/mesh/Mesh.java
@@ -1,11 +1,13 @@
 package io.cherryspool.mesh;
 
-/** Sends word to the other controller nodes; nothing that matters depends on its arrival. */
+/**
+ * Sends heartbeats to the other controller nodes; nothing that matters depends on their arrival.
+ */
 @FunctionalInterface
 public interface Mesh {
 
   /**
-   * What a node tells the others.
+   * How a node is, for the others.
    *
    * @param term the highest term it knows
    * @param state whether it reaches the state service
@@ -14,8 +16,9 @@
    *     leads
    * @param writes how many changes of records it has lately made, in tenths for a second
    */
-  record Word(
+  record Heartbeat(
       String node, long term, boolean state, int silence, int redirectedWorkers, int writes) {}
 
-  void tell(Word word);
+  /** Sends the heartbeat to all other nodes, where they can be reached now. */
+  void broadcast(Heartbeat heartbeat);
 }
--- a/src/main/java/io/cherryspool/mesh/NettyMesh.java
+++ b/src/main/java/io/cherryspool/mesh/NettyMesh.java
@@ -31,9 +31,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Words between the nodes, as MessagePack arrays in length-prefixed frames. Each node keeps one
- * connection to each other for what it says itself. A word that can't go out now is dropped, since
- * the next one says more.
+ * Heartbeats between the nodes, as MessagePack arrays in length-prefixed frames. Each node keeps
+ * one connection to each other for its own. A heartbeat that can't go out now is dropped, since the
+ * next one says more.
  */
 public final class NettyMesh implements Mesh, Lifecycle {
   private static final Logger LOG = LoggerFactory.getLogger(NettyMesh.class);
@@ -45,12 +45,12 @@
 
   private final NettyLoop loop;
   private final List<Endpoint> peers;
-  private final Consumer<Word> sink;
+  private final Consumer<Heartbeat> sink;
   private final Map<Endpoint, Channel> links = new HashMap<>();
   private Channel listener;
   private boolean stopped;
 
-  public NettyMesh(NettyLoop loop, List<Endpoint> peers, Consumer<Word> sink) {
+  public NettyMesh(NettyLoop loop, List<Endpoint> peers, Consumer<Heartbeat> sink) {
     this.loop = loop;
     this.peers = peers;
     this.sink = sink;
@@ -95,11 +95,11 @@
   }
 
   @Override
-  public void tell(Word word) {
+  public void broadcast(Heartbeat heartbeat) {
     if (stopped) {
       return;
     }
-    byte[] frame = encode(word);
+    byte[] frame = encode(heartbeat);
     for (Endpoint peer : peers) {
       Channel link = links.get(peer);
       if (link == null) {
@@ -135,28 +135,28 @@
     channel.closeFuture().addListener(closed -> links.remove(peer, channel));
   }
 
-  static byte[] encode(Word word) {
+  static byte[] encode(Heartbeat heartbeat) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       packer.packArrayHeader(FIELDS);
-      packer.packString(word.node());
-      packer.packLong(word.term());
-      packer.packBoolean(word.state());
-      packer.packInt(word.silence());
-      packer.packInt(word.redirectedWorkers());
-      packer.packInt(word.writes());
+      packer.packString(heartbeat.node());
+      packer.packLong(heartbeat.term());
+      packer.packBoolean(heartbeat.state());
+      packer.packInt(heartbeat.silence());
+      packer.packInt(heartbeat.redirectedWorkers());
+      packer.packInt(heartbeat.writes());
       return packer.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("packing into memory", e);
     }
   }
 
-  /** Reads a word; fields that a later version adds are ignored. */
-  static Word decode(byte[] frame) throws IOException {
+  /** Reads a heartbeat; fields that a later version adds are ignored. */
+  static Heartbeat decode(byte[] frame) throws IOException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(frame)) {
       if (unpacker.unpackArrayHeader() < FIELDS) {
-        throw new IOException("a word that is too short");
+        throw new IOException("a heartbeat that is too short");
       }
-      return new Word(
+      return new Heartbeat(
           unpacker.unpackString(),
           unpacker.unpackLong(),
           unpacker.unpackBoolean(),
--- a/src/main/java/io/cherryspool/mesh/package-info.java
+++ b/src/main/java/io/cherryspool/mesh/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Messages between the controller nodes: each tells the others at short intervals how it is. They
+ * Heartbeats between the controller nodes, by which each says at short intervals how it is. They
  * are hints only, since no decision that must be right rests on their arrival.
  *
  * <p>May depend on {@code http}, for addresses and the event loop on Netty, and {@code lifecycle}.
--- a/src/test/java/io/cherryspool/controller/LeadershipTransferTest.java
+++ b/src/test/java/io/cherryspool/controller/LeadershipTransferTest.java
@@ -27,19 +27,19 @@
 
   private boolean acting = true;
 
-  private String after(double seconds, int known, int lost, Mesh.Word... words) {
+  private String after(double seconds, int known, int lost, Mesh.Heartbeat... heartbeats) {
     Duration end = now.plusMillis((long) (seconds * 1000));
     for (; now.compareTo(end) < 0; now = now.plus(PERIOD)) {
       transfer.tick(now, acting);
-      for (Mesh.Word word : words) {
-        peers.heard(word, now);
+      for (Mesh.Heartbeat heartbeat : heartbeats) {
+        peers.receive(heartbeat, now);
       }
     }
     return transfer.successor(new LeaderTerm.Reach(known, lost), now);
   }
 
-  private static Mesh.Word says(String node, boolean state, int redirectedWorkers) {
-    return new Mesh.Word(node, 7, state, 0, redirectedWorkers, 0);
+  private static Mesh.Heartbeat says(String node, boolean state, int redirectedWorkers) {
+    return new Mesh.Heartbeat(node, 7, state, 0, redirectedWorkers, 0);
   }
 
   @Test
@@ -68,29 +68,29 @@
   /** What waited in the sockets of a node that stood still is not read yet. */
   @Test
   void aNodeThatStoodStillOrLeadsOnlyNowLetsItsWorkersComeFirst() {
-    Mesh.Word word = says("a", true, 800);
-    assertNull(after(3, 900, 850, word), "it has led for 3 s");
-    assertEquals("a", after(20, 900, 850, word));
+    Mesh.Heartbeat heartbeat = says("a", true, 800);
+    assertNull(after(3, 900, 850, heartbeat), "it has led for 3 s");
+    assertEquals("a", after(20, 900, 850, heartbeat));
     now = now.plusSeconds(9);
-    assertNull(after(1, 900, 850, word));
-    assertEquals("a", after(20, 900, 850, word));
+    assertNull(after(1, 900, 850, heartbeat));
+    assertEquals("a", after(20, 900, 850, heartbeat));
     acting = false;
-    assertNull(after(20, 900, 900, word), "it could not answer");
+    assertNull(after(20, 900, 900, heartbeat), "it could not answer");
     acting = true;
-    assertNull(after(5, 900, 700, word), "after an outage they all come from the others");
-    assertEquals("a", after(20, 900, 850, word));
+    assertNull(after(5, 900, 700, heartbeat), "after an outage they all come from the others");
+    assertEquals("a", after(20, 900, 850, heartbeat));
   }
 
   /** It answers so late that its workers go round, and hands its work to one that is no larger. */
   @Test
   void aNodeThatIsTooBusyToAnswerInTimeKeepsItsWork() {
-    Mesh.Word word = says("a", true, 400);
-    assertEquals("a", after(20, 900, 450, word));
+    Mesh.Heartbeat heartbeat = says("a", true, 400);
+    assertEquals("a", after(20, 900, 450, heartbeat));
     for (int i = 0; i < 40; i++) {
       now = now.plusMillis(300);
-      assertNull(after(3, 900, 450, word));
+      assertNull(after(3, 900, 450, heartbeat));
     }
-    assertEquals("a", after(20, 900, 450, word), "once it keeps up again");
+    assertEquals("a", after(20, 900, 450, heartbeat), "once it keeps up again");
   }
 
   @Test
--- a/src/test/java/io/cherryspool/sim/ControllerNode.java
+++ b/src/test/java/io/cherryspool/sim/ControllerNode.java
@@ -41,7 +41,7 @@
             new Controller.Surroundings(
                 cluster.time().of(own),
                 cluster.net().from(address.host(), own),
-                word -> tell(own, word),
+                heartbeat -> broadcast(own, heartbeat),
                 new SplittableRandom(random.nextLong()),
                 () -> Instant.EPOCH.plus(cluster.time().now()),
                 name() + "-life-" + life,
@@ -51,21 +51,21 @@
     controller.start();
   }
 
-  private void tell(Gate own, Mesh.Word word) {
+  private void broadcast(Gate own, Mesh.Heartbeat heartbeat) {
     if (own.closed() || alone || cluster.meshRefused()) {
       return;
     }
     for (ControllerNode other : cluster.nodes()) {
       if (other != this && cluster.net().reaches(address.host(), other.address.host())) {
-        cluster.time().schedule(Duration.ofMillis(2), () -> other.hear(word));
+        cluster.time().schedule(Duration.ofMillis(2), () -> other.receive(heartbeat));
       }
     }
   }
 
-  private void hear(Mesh.Word word) {
+  private void receive(Mesh.Heartbeat heartbeat) {
     if (controller != null && !alone) {
       Controller live = controller;
-      gate.pass(() -> live.heard(word));
+      gate.pass(() -> live.receive(heartbeat));
     }
   }
 
