--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -13,8 +13,8 @@
 import io.cherryspool.model.Durations;
 import io.cherryspool.model.Report;
 import io.cherryspool.model.Team;
-import io.cherryspool.store.Budget;
 import io.cherryspool.store.GroupCommit;
+import io.cherryspool.store.RateLimiter;
 import io.cherryspool.store.Records;
 import io.cherryspool.store.Replica;
 import io.cherryspool.store.StateClient;
@@ -46,7 +46,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
   private static final String JOBS = "/api/jobs";
   private static final String CANCEL = "/withdraw";
-  private static final int WORDS_PER_LEASE = 8;
+  private static final int HEARTBEATS_PER_LEASE = 8;
 
   private final EventLoop loop;
   private final Settings settings;
@@ -61,7 +61,7 @@
   private final RedirectedWorkers redirectedWorkers = new RedirectedWorkers();
   private final LeadershipTransfer transfer;
   private final StateClient state;
-  private final Budget budget;
+  private final RateLimiter rateLimiter;
   private final Replica replica;
   private final Election election;
   private final CloudClient cloud;
@@ -94,16 +94,19 @@
     Settings.StateLimits limits = settings.stateLimits();
     int nodes = settings.peers().size() + 1;
     transfer =
-        new LeadershipTransfer(peers, timings, timings.stateLease().dividedBy(WORDS_PER_LEASE));
-    budget = new Budget(loop, nodes, limits.rps(), limits.writeRps());
-    state = new StateClient(loop, budget, given.transport(), settings.state(), timings.stateCall());
+        new LeadershipTransfer(
+            peers, timings, timings.stateLease().dividedBy(HEARTBEATS_PER_LEASE));
+    rateLimiter = new RateLimiter(loop, nodes, limits.rps(), limits.writeRps());
+    state =
+        new StateClient(
+            loop, rateLimiter, given.transport(), settings.state(), timings.stateCall());
     Duration refreshGap = Duration.ofNanos((long) (2e9 * nodes / limits.rps()));
-    replica = new Replica(loop, state, budget, refreshGap, timings.stateCall().dividedBy(2));
+    replica = new Replica(loop, state, rateLimiter, refreshGap, timings.stateCall().dividedBy(2));
     election =
         new Election(
             loop,
             state,
-            budget,
+            rateLimiter,
             replica,
             given.random(),
             timings,
@@ -111,10 +114,10 @@
             given.instance());
     cloud = new CloudClient(given.transport(), settings.cloud(), timings.cloudCall());
     workers = new WorkerClient(given.transport(), timings.workerCall());
-    catalog = new CatalogKeeper(loop, cloud, replica, state, budget, election::leading);
+    catalog = new CatalogKeeper(loop, cloud, replica, state, rateLimiter, election::leading);
     commits =
         new GroupCommit(
-            loop, state, budget, limits.txnOps(), 4 * limits.txnOps(), timings.stateCall());
+            loop, state, rateLimiter, limits.txnOps(), 4 * limits.txnOps(), timings.stateCall());
     users =
         new UserApi(
             replica,
@@ -143,7 +146,7 @@
     Gauge.builder("cherryspool.workers.redirected", () -> redirectedWorkers.count(loop.now()))
         .register(registry);
     Gauge.builder("cherryspool.changes.waiting", commits::waiting).register(registry);
-    Gauge.builder("cherryspool.changes.left", budget::left).register(registry);
+    Gauge.builder("cherryspool.changes.left", rateLimiter::left).register(registry);
   }
 
   @Override
@@ -180,28 +183,28 @@
     return leaderTerm != null && election.authorized();
   }
 
-  /** Word from another node. */
-  public void heard(Mesh.Word word) {
-    election.hear(word.term());
-    peers.heard(word, loop.now());
+  /** Takes in a heartbeat from another node. */
+  public void receive(Mesh.Heartbeat heartbeat) {
+    election.hear(heartbeat.term());
+    peers.receive(heartbeat, loop.now());
   }
 
   private void tick() {
-    timer = loop.schedule(Durations.part(timings.stateLease(), WORDS_PER_LEASE), this::tick);
+    timer = loop.schedule(Durations.part(timings.stateLease(), HEARTBEATS_PER_LEASE), this::tick);
     Duration now = loop.now();
-    int writes = (int) Math.ceil(10 * budget.lately());
+    int writes = (int) Math.ceil(10 * rateLimiter.lately());
     Duration read = replica.confirmed();
     int silence = read == null ? Integer.MAX_VALUE : (int) now.minus(read).toMillis();
-    mesh.tell(
-        new Mesh.Word(
+    mesh.broadcast(
+        new Mesh.Heartbeat(
             settings.name(),
             replica.term(),
             reachesState(),
             silence,
             redirectedWorkers.count(now),
             writes));
-    budget.others(
-        peers.since(timings.stateLease(), now).stream().mapToInt(Mesh.Word::writes).toArray());
+    rateLimiter.others(
+        peers.since(timings.stateLease(), now).stream().mapToInt(Mesh.Heartbeat::writes).toArray());
     transfer.tick(now, leads());
     if (leaderTerm != null) {
       LeaderTerm.Reach reach = leaderTerm.reach();
@@ -233,10 +236,10 @@
     if (leaderTerm != null && (!leading || leaderTerm.term() != replica.term())) {
       leaderTerm.stop();
       leaderTerm = null;
-      budget.setLeader(false);
+      rateLimiter.setLeader(false);
     }
     if (leaderTerm == null && leading) {
-      budget.setLeader(true);
+      rateLimiter.setLeader(true);
       leaderTerm = newLeaderTerm();
       leaderTerm.start();
     }
@@ -244,7 +247,8 @@
 
   private LeaderTerm newLeaderTerm() {
     int maxChanges = settings.stateLimits().txnOps();
-    RoundWriter writer = new RoundWriter(loop, state, budget, maxChanges, replica.termVersion());
+    RoundWriter writer =
+        new RoundWriter(loop, state, rateLimiter, maxChanges, replica.termVersion());
     return new LeaderTerm(
         loop,
         replica,
@@ -310,9 +314,9 @@
    * others say the same stays ready; one that hears nobody is rather cut off itself.
    */
   private Reply ready() {
-    List<Mesh.Word> others = peers.since(timings.stateLease(), loop.now());
+    List<Mesh.Heartbeat> others = peers.since(timings.stateLease(), loop.now());
     boolean outage =
-        others.stream().noneMatch(Mesh.Word::state)
+        others.stream().noneMatch(Mesh.Heartbeat::state)
             && (!others.isEmpty() || settings.peers().isEmpty());
     boolean ready = replica.loaded() && (reachesState() || outage) && !behind();
     return Reply.json(ready ? 200 : 503, JobWire.error(ready ? "none" : "not ready"));
--- a/src/main/java/io/cherryspool/controller/Provisioner.java
+++ b/src/main/java/io/cherryspool/controller/Provisioner.java
@@ -5,8 +5,8 @@
 import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.model.Durations;
 import io.cherryspool.model.MachineType;
-import io.cherryspool.model.Rented;
-import io.cherryspool.scheduler.FleetPlan;
+import io.cherryspool.model.RentedMachine;
+import io.cherryspool.scheduler.ScalingPlan;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -52,9 +52,9 @@
   private final String prefix;
   private final BooleanSupplier sole;
   private final Runnable listed;
-  private final Map<String, Rented> list = new HashMap<>();
+  private final Map<String, RentedMachine> list = new HashMap<>();
   private final Map<String, Incoming> incoming = new HashMap<>();
-  private final Map<FleetPlan.Offer, Duration> soldOut = new HashMap<>();
+  private final Map<ScalingPlan.Offer, Duration> soldOut = new HashMap<>();
   private final Set<String> doomed = new LinkedHashSet<>();
   private Request repeat;
   private int counter;
@@ -67,10 +67,10 @@
   private EventLoop.Timer timer;
 
   /** A machine rented in this term that has not reported yet. */
-  private record Incoming(FleetPlan.Offer offer, Duration since) {}
+  private record Incoming(ScalingPlan.Offer offer, Duration since) {}
 
   /** A rental whose answer is not known; it goes again under the same name. */
-  private record Request(String name, FleetPlan.Offer offer, int count) {}
+  private record Request(String name, ScalingPlan.Offer offer, int count) {}
 
   Provisioner(
       EventLoop loop,
@@ -168,7 +168,7 @@
     lastStep = now;
   }
 
-  private void readList(String after, Map<String, Rented> found) {
+  private void readList(String after, Map<String, RentedMachine> found) {
     busy = true;
     cloud
         .list(after)
@@ -188,13 +188,13 @@
             });
   }
 
-  private void take(Map<String, Rented> found) {
+  private void take(Map<String, RentedMachine> found) {
     listRead = true;
     list.clear();
     list.putAll(found);
     Duration now = loop.now();
-    for (Rented item : found.values()) {
-      if (!fleet.isGone(item.name()) && item.status() == Rented.Status.RUNNING) {
+    for (RentedMachine item : found.values()) {
+      if (!fleet.isGone(item.name()) && item.status() == RentedMachine.Status.RUNNING) {
         fleet.add(item.name(), item.address(), item.type(), item.zone(), item.spot(), now);
       }
     }
@@ -203,13 +203,13 @@
 
   /** Decides which machines to delete, and only for reasons that hold whatever a late list says. */
   private void condemn(Duration now) {
-    for (Rented item : list.values()) {
+    for (RentedMachine item : list.values()) {
       if (fleet.isGone(item.name())) {
         continue;
       }
-      if (item.status() == Rented.Status.FAILED) {
+      if (item.status() == RentedMachine.Status.FAILED) {
         doom(item.name(), "it has failed");
-      } else if (item.status() == Rented.Status.BOOTING
+      } else if (item.status() == RentedMachine.Status.BOOTING
           && !fleet.hasHeard(item.name())
           && item.age().compareTo(bootLimit(item.type())) > 0) {
         doom(item.name(), "it has been booting for " + item.age().toSeconds() + " s");
@@ -345,9 +345,9 @@
     }
     soldOut.values().removeIf(at -> now.minus(at).compareTo(SOLD_OUT) > 0);
     fleet.prune(ownership);
-    FleetPlan.Plan plan =
-        FleetPlan.of(
-            new FleetPlan.View(
+    ScalingPlan.Decision decision =
+        ScalingPlan.of(
+            new ScalingPlan.View(
                 workload.time(),
                 rounds.plan().unplaced(),
                 rounds.plan().displacing(),
@@ -358,25 +358,25 @@
                 soldOut.keySet(),
                 idleKeep));
     for (MachineState machine : fleet.all()) {
-      boolean closing = plan.closing().contains(machine.name);
+      boolean closing = decision.closing().contains(machine.name);
       if (closing != machine.closing) {
         machine.closing = closing;
         machine.view = null;
       }
     }
-    if (!plan.rentals().isEmpty()) {
-      Map.Entry<FleetPlan.Offer, Integer> first = plan.rentals().entrySet().iterator().next();
+    if (!decision.rentals().isEmpty()) {
+      Map.Entry<ScalingPlan.Offer, Integer> first = decision.rentals().entrySet().iterator().next();
       counter++;
       rent(
           new Request(
               prefix + counter, first.getKey(), Math.min(first.getValue(), MOST_PER_REQUEST)));
     } else {
-      plan.returns().forEach(name -> doom(name, "it has been idle"));
+      decision.returns().forEach(name -> doom(name, "it has been idle"));
     }
   }
 
   /** Machines on their way: rented in this term and not heard yet, or listed as booting. */
-  private List<FleetPlan.Offer> coming() {
+  private List<ScalingPlan.Offer> coming() {
     Map<String, MachineType> types = types();
     Duration now = loop.now();
     Duration unlisted = Durations.times(listLag, 4);
@@ -389,15 +389,15 @@
                       && now.minus(entry.getValue().since).compareTo(unlisted) > 0;
               return fleet.hasHeard(entry.getKey()) || lost || fleet.isGone(entry.getKey());
             });
-    List<FleetPlan.Offer> result = new ArrayList<>();
+    List<ScalingPlan.Offer> result = new ArrayList<>();
     incoming.values().forEach(item -> result.add(item.offer));
-    for (Rented item : list.values()) {
-      if (item.status() == Rented.Status.BOOTING
+    for (RentedMachine item : list.values()) {
+      if (item.status() == RentedMachine.Status.BOOTING
           && !fleet.hasHeard(item.name())
           && !incoming.containsKey(item.name())
           && !fleet.isGone(item.name())
           && types.containsKey(item.type())) {
-        result.add(new FleetPlan.Offer(types.get(item.type()), item.zone(), item.spot()));
+        result.add(new ScalingPlan.Offer(types.get(item.type()), item.zone(), item.spot()));
       }
     }
     return result;
@@ -409,9 +409,9 @@
     return types;
   }
 
-  private List<FleetPlan.Up> up(Duration now) {
+  private List<ScalingPlan.Up> up(Duration now) {
     Map<String, MachineType> types = types();
-    List<FleetPlan.Up> result = new ArrayList<>();
+    List<ScalingPlan.Up> result = new ArrayList<>();
     for (MachineState machine : fleet.all()) {
       MachineType type = types.get(machine.type);
       if (type == null || machine.gone || machine.deleting || machine.latest == null) {
@@ -422,9 +422,9 @@
         used += owned.entry().job().perTask().cpus();
       }
       result.add(
-          new FleetPlan.Up(
+          new ScalingPlan.Up(
               machine.name,
-              new FleetPlan.Offer(type, machine.zone, machine.spot),
+              new ScalingPlan.Offer(type, machine.zone, machine.spot),
               used,
               machine.idleSince == null ? null : now.minus(machine.idleSince)));
     }
@@ -434,7 +434,7 @@
   private void rent(Request request) {
     busy = true;
     repeat = request;
-    FleetPlan.Offer offer = request.offer;
+    ScalingPlan.Offer offer = request.offer;
     cloud
         .rent(request.name, offer.type().name(), offer.zone(), offer.spot(), request.count)
         .whenComplete(
@@ -457,7 +457,7 @@
   }
 
   private void rented(Request request, List<String> names) {
-    FleetPlan.Offer offer = request.offer;
+    ScalingPlan.Offer offer = request.offer;
     LOG.info(
         "rented {} of {} {} in {}, spot {}, as {}",
         names.size(),
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -9,8 +9,8 @@
 import io.cherryspool.scheduler.ClusterView;
 import io.cherryspool.scheduler.Placement;
 import io.cherryspool.scheduler.RoundPlan;
-import io.cherryspool.store.Budget;
 import io.cherryspool.store.JobEntry;
+import io.cherryspool.store.RateLimiter;
 import io.cherryspool.store.Replica;
 import java.time.Duration;
 import java.time.Instant;
@@ -30,17 +30,17 @@
  */
 final class Rounds implements Lifecycle {
   private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
-  private static final Duration GATHER = Duration.ofMillis(40);
-  private static final Duration SPENT = Duration.ofMillis(120);
+  private static final Duration BATCHING_DELAY = Duration.ofMillis(40);
+  private static final Duration RETRY_PAUSE = Duration.ofMillis(120);
 
   /** Rounds take at most about one part in so many of the processor. */
   private static final int COST_SHARE = 4;
 
   /** How long a release that nothing waits for may wait for other changes of its shard. */
-  private static final Duration LAZY = Duration.ofSeconds(4);
+  private static final Duration RELEASE_DELAY = Duration.ofSeconds(4);
 
   /** And how long at most, however many writes there are; after so long users see the count old. */
-  private static final Duration OVERDUE = Duration.ofSeconds(25);
+  private static final Duration MAX_RELEASE_DELAY = Duration.ofSeconds(25);
 
   private final EventLoop loop;
   private final Replica replica;
@@ -155,7 +155,8 @@
     wanted = true;
     if (timer == null && !underWay && !stopped) {
       Duration pause = lastRun.plus(Durations.times(lastCost, COST_SHARE)).minus(loop.now());
-      timer = loop.schedule(pause.compareTo(GATHER) > 0 ? pause : GATHER, this::run);
+      timer =
+          loop.schedule(pause.compareTo(BATCHING_DELAY) > 0 ? pause : BATCHING_DELAY, this::run);
     }
   }
 
@@ -235,7 +236,8 @@
       place(edits);
     }
     List<RoundWriter.Unit> units =
-        edits.units(replica.active(), lastRun.minus(LAZY), lastRun.minus(OVERDUE));
+        edits.units(
+            replica.active(), lastRun.minus(RELEASE_DELAY), lastRun.minus(MAX_RELEASE_DELAY));
     lastCost = loop.now().minus(lastRun);
     if (units.isEmpty()) {
       return;
@@ -249,10 +251,12 @@
     }
     if (sent < units.size()) {
       LOG.debug(
-          "the write budget leaves {} of {} changes for later", units.size() - sent, units.size());
-      if (units.get(sent).use() == Budget.Use.ROUND) {
+          "the write rateLimiter leaves {} of {} changes for later",
+          units.size() - sent,
+          units.size());
+      if (units.get(sent).use() == RateLimiter.Use.ROUND) {
         Duration pause = Durations.times(lastCost, COST_SHARE);
-        timer = loop.schedule(pause.compareTo(SPENT) > 0 ? pause : SPENT, this::run);
+        timer = loop.schedule(pause.compareTo(RETRY_PAUSE) > 0 ? pause : RETRY_PAUSE, this::run);
       }
     }
   }
@@ -267,7 +271,7 @@
                 return;
               }
               if (failure != null) {
-                loop.schedule(SPENT, this::settled);
+                loop.schedule(RETRY_PAUSE, this::settled);
                 return;
               }
               underWay = false;
--- a/src/test/java/io/cherryspool/controller/LeaderTermFixture.java
+++ b/src/test/java/io/cherryspool/controller/LeaderTermFixture.java
@@ -14,7 +14,7 @@
 import io.cherryspool.sim.StandInState;
 import io.cherryspool.sim.StateLine;
 import io.cherryspool.sim.VirtualTime;
-import io.cherryspool.store.Budget;
+import io.cherryspool.store.RateLimiter;
 import io.cherryspool.store.Records;
 import io.cherryspool.store.Replica;
 import io.cherryspool.store.StateClient;
@@ -57,9 +57,11 @@
 
   LeaderTermFixture() {
     EventLoop loop = counting();
-    Budget budget = new Budget(loop, 1, 1000, 1000);
-    StateClient client = new StateClient(loop, budget, new StateLine(time, state), ANYWHERE, CALL);
-    Replica replica = new Replica(loop, client, budget, Duration.ofMillis(5), CALL.dividedBy(2));
+    RateLimiter rateLimiter = new RateLimiter(loop, 1, 1000, 1000);
+    StateClient client =
+        new StateClient(loop, rateLimiter, new StateLine(time, state), ANYWHERE, CALL);
+    Replica replica =
+        new Replica(loop, client, rateLimiter, Duration.ofMillis(5), CALL.dividedBy(2));
     replica.start();
     run(Duration.ofMillis(50));
     assertTrue(replica.loaded());
@@ -70,7 +72,7 @@
             replica,
             new WorkerClient(silent, CALL),
             new CloudClient(silent, ANYWHERE, CALL),
-            new RoundWriter(loop, client, budget, 8, 0),
+            new RoundWriter(loop, client, rateLimiter, 8, 0),
             new Rounds.Limits(
                 ROUND_MAX,
                 REPORT.multipliedBy(2),
--- a/src/test/java/io/cherryspool/mesh/NettyMeshTest.java
+++ b/src/test/java/io/cherryspool/mesh/NettyMeshTest.java
@@ -17,7 +17,7 @@
 
 class NettyMeshTest {
   private static final long LIMIT_S = 10;
-  private static final Mesh.Word WORD = new Mesh.Word("node", 1, true, 0, 0, 0);
+  private static final Mesh.Heartbeat WORD = new Mesh.Heartbeat("node", 1, true, 0, 0, 0);
 
   /** Closing the links while walking over them failed, so that the listener stayed open. */
   @Test
@@ -29,7 +29,7 @@
     mesh.bind(own);
     loop.execute(mesh::start);
     for (int i = 0; i < 200 && received.getCount() > 0; i++) {
-      loop.execute(() -> mesh.tell(WORD));
+      loop.execute(() -> mesh.broadcast(WORD));
       received.await(50, TimeUnit.MILLISECONDS);
     }
     assertTrue(received.await(0, TimeUnit.SECONDS), "no link came about");
--- a/src/test/java/io/cherryspool/model/RecordEqualityTest.java
+++ b/src/test/java/io/cherryspool/model/RecordEqualityTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import io.cherryspool.http.Endpoint;
-import io.cherryspool.scheduler.FleetPlan;
+import io.cherryspool.scheduler.ScalingPlan;
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Supplier;
@@ -74,10 +74,10 @@
             new MachineType("box", SIZE, 30, 0.8, 0.27, 0.1, Duration.ZERO, ZONES),
             new MachineType("box", SIZE, 30, 0.8, 0.27, 0.1, BOOT, List.of("a"))),
         record(
-            () -> new FleetPlan.Offer(type("box"), "a", true),
-            new FleetPlan.Offer(type("crate"), "a", true),
-            new FleetPlan.Offer(type("box"), "b", true),
-            new FleetPlan.Offer(type("box"), "a", false)));
+            () -> new ScalingPlan.Offer(type("box"), "a", true),
+            new ScalingPlan.Offer(type("crate"), "a", true),
+            new ScalingPlan.Offer(type("box"), "b", true),
+            new ScalingPlan.Offer(type("box"), "a", false)));
   }
 
   @ParameterizedTest
--- a/src/test/java/io/cherryspool/store/ReplicaCostTest.java
+++ b/src/test/java/io/cherryspool/store/ReplicaCostTest.java
@@ -36,16 +36,16 @@
   private static final long MOST_KEPT_PER_JOB = 900;
 
   private final VirtualTime time = new VirtualTime();
-  private final Budget budget = new Budget(time, 1, 1000, 1000);
+  private final RateLimiter rateLimiter = new RateLimiter(time, 1, 1000, 1000);
   private final StateClient client =
       new StateClient(
           time,
-          budget,
+          rateLimiter,
           (to, request, deadline) -> send(request),
           new Endpoint("127.0.0.1", 1),
           CALL);
   private final Replica replica =
-      new Replica(time, client, budget, Duration.ofMillis(5), CALL.dividedBy(2));
+      new Replica(time, client, rateLimiter, Duration.ofMillis(5), CALL.dividedBy(2));
   private CompletableFuture<Reply> watch;
   private long revision;
 
