Hold only small requests until the peer is looked at; compare times without new durations

Bodies of 64 KiB from many connections at once would have been held in the buffers' 32 MB until the loop came to them. Lateness of a thousand machines, twice a second and more, is told by one threshold.

--- a/src/main/java/io/cherryspool/controller/LeaderTerm.java
+++ b/src/main/java/io/cherryspool/controller/LeaderTerm.java
@@ -216,15 +216,14 @@
    * is known.
    */
   Reach reach() {
-    Duration now = loop.now();
-    Duration limit = timings.late();
+    Duration lateSince = loop.now().minus(timings.late());
     int known = 0;
     int lost = 0;
     for (MachineState machine : fleet.all()) {
       if (!machine.gone && machine.latest != null) {
         Duration last = machine.answered == null ? started : machine.answered;
         known++;
-        boolean late = now.minus(last).compareTo(limit) > 0;
+        boolean late = last.compareTo(lateSince) < 0;
         lost += late || machine.unheeded > 1 ? 1 : 0;
       }
     }
@@ -408,8 +407,7 @@
    * not taken for dead.
    */
   private void probeLate() {
-    Duration now = loop.now();
-    Duration late = timings.late();
+    Duration lateSince = loop.now().minus(timings.late());
     for (String name : ownership.machines()) {
       MachineState machine = fleet.get(name);
       if (machine != null
@@ -417,7 +415,7 @@
           && machine.endpoint != null
           && machine.heard != null
           && !machine.heard.equals(machine.probed)
-          && now.minus(machine.heard).compareTo(late) > 0) {
+          && machine.heard.compareTo(lateSince) < 0) {
         machine.probed = machine.heard;
         toInspect.add(name);
       }
--- a/src/main/java/io/cherryspool/controller/Provisioner.java
+++ b/src/main/java/io/cherryspool/controller/Provisioner.java
@@ -249,7 +249,11 @@
   }
 
   private static Duration silent(MachineState machine, Duration now) {
-    return now.minus(machine.heard == null ? machine.firstSeen : machine.heard);
+    return now.minus(lastSeen(machine));
+  }
+
+  private static Duration lastSeen(MachineState machine) {
+    return machine.heard == null ? machine.firstSeen : machine.heard;
   }
 
   private static boolean deaf(MachineState machine, Duration now, Duration patience) {
@@ -267,10 +271,11 @@
    */
   static Set<String> cutZones(
       Collection<MachineState> fleet, Set<String> listed, Duration now, Duration late) {
+    Duration lateSince = now.minus(late);
     Map<String, Integer> bad = new HashMap<>();
     for (MachineState machine : fleet) {
       if (!machine.gone
-          && (machine.unheeded > 1 || silent(machine, now).compareTo(late) > 0)
+          && (machine.unheeded > 1 || lastSeen(machine).compareTo(lateSince) < 0)
           && listed.contains(machine.name)) {
         bad.merge(machine.zone, 1, Integer::sum);
       }
--- a/src/main/java/io/cherryspool/http/PeerCheck.java
+++ b/src/main/java/io/cherryspool/http/PeerCheck.java
@@ -1,8 +1,8 @@
 package io.cherryspool.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -15,12 +15,24 @@
  * them would be answered too late. A peer that closes only its sending side is not answered either.
  */
 final class PeerCheck extends ChannelInboundHandlerAdapter {
-  private List<Object> received = new ArrayList<>(1);
+  /**
+   * So much is held of a connection; a request that is larger is passed on as it comes. Otherwise
+   * many large bodies at once would take all of the buffers' memory.
+   */
+  private static final int MAX_HELD_BYTES = 8 * 1024;
+
+  private List<ByteBuf> received = new ArrayList<>(1);
+  private int heldBytes;
   private boolean scheduled;
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
-    received.add(message);
+    ByteBuf bytes = (ByteBuf) message;
+    received.add(bytes);
+    heldBytes += bytes.readableBytes();
+    if (heldBytes > MAX_HELD_BYTES) {
+      passOn(ctx);
+    }
   }
 
   /** The end of the connection, if it has been read, closes the channel right after this call. */
@@ -28,19 +40,29 @@
   public void channelReadComplete(ChannelHandlerContext ctx) {
     if (!scheduled && !received.isEmpty()) {
       scheduled = true;
-      ctx.executor().execute(() -> pass(ctx));
+      ctx.executor().execute(() -> passIfOpen(ctx));
     }
   }
 
-  private void pass(ChannelHandlerContext ctx) {
+  /** The buffers of a connection that has been closed are dropped. */
+  private void passIfOpen(ChannelHandlerContext ctx) {
     scheduled = false;
-    List<Object> messages = received;
-    received = new ArrayList<>(1);
-    if (!ctx.channel().isActive()) {
-      messages.forEach(ReferenceCountUtil::release);
-      return;
+    if (ctx.channel().isActive()) {
+      passOn(ctx);
+      ctx.fireChannelReadComplete();
+    } else {
+      take().forEach(ByteBuf::release);
     }
-    messages.forEach(ctx::fireChannelRead);
-    ctx.fireChannelReadComplete();
+  }
+
+  private void passOn(ChannelHandlerContext ctx) {
+    take().forEach(ctx::fireChannelRead);
+  }
+
+  private List<ByteBuf> take() {
+    List<ByteBuf> taken = received;
+    received = new ArrayList<>(1);
+    heldBytes = 0;
+    return taken;
   }
 }
