Give the measured controllers' state service an event loop of its own

On a machine loaded with three times its cores, a fleet of 1,117 that began to report kept the one loop of the stand-ins busy for longer than the state lease: the leader's lease ran out, and that run's figures were of no use. The program now says so if the leader changes.

--- a/src/test/java/io/cherryspool/sim/ControllerProcess.java
+++ b/src/test/java/io/cherryspool/sim/ControllerProcess.java
@@ -20,7 +20,8 @@
 /** A controller as a process of its own, and what the kernel tells of it. */
 final class ControllerProcess {
   private static final String LISTENING = " listens on ";
-  private static final String LEADING = "leading in term ";
+  private static final String LEADING = " leading in term ";
+  private static final String NO_LONGER = " no longer leading ";
   private static final long PATIENCE_S = 30;
 
   private final Process process;
@@ -30,6 +31,8 @@
   private final CompletableFuture<Reached> listening = new CompletableFuture<>();
   private final CompletableFuture<Reached> leading = new CompletableFuture<>();
 
+  private volatile boolean leadershipLost;
+
   /** The processor time of a thread, also of one that has ended, as it was last seen. */
   private record Used(ThreadTimes.Group group, long nanos) {}
 
@@ -52,6 +55,8 @@
       for (String line = reader.readLine(); line != null; line = reader.readLine()) {
         if (line.contains(LISTENING)) {
           listening.complete(reached());
+        } else if (line.contains(NO_LONGER)) {
+          leadershipLost = true;
         } else if (line.contains(LEADING)) {
           leading.complete(reached());
         }
@@ -76,6 +81,10 @@
     return await(leading, "lead");
   }
 
+  boolean leadershipLost() {
+    return leadershipLost;
+  }
+
   private static Reached await(CompletableFuture<Reached> event, String what)
       throws InterruptedException {
     try {
--- a/src/test/java/io/cherryspool/sim/CostCluster.java
+++ b/src/test/java/io/cherryspool/sim/CostCluster.java
@@ -1,6 +1,5 @@
 package io.cherryspool.sim;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import io.cherryspool.http.Endpoint;
 import io.cherryspool.http.NettyClient;
 import io.cherryspool.http.NettyLoop;
@@ -10,12 +9,8 @@
 import io.cherryspool.model.Job;
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Resources;
-import io.cherryspool.store.Records;
-import io.cherryspool.wire.JobWire;
 import io.cherryspool.wire.StateWire;
-import io.cherryspool.wire.WireException;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -31,7 +26,8 @@
 
 /**
  * What stands around the controllers whose costs are measured: a state service, a cloud and a fleet
- * of workers, all on one event loop of this process and on addresses of the loopback network.
+ * of workers, the last two on one event loop of this process, and all on addresses of the loopback
+ * network.
  */
 final class CostCluster {
   static final Duration REPORT = Duration.ofMillis(2500);
@@ -60,13 +56,17 @@
   private final int size;
   private final NettyLoop loop = new NettyLoop();
   private final SplittableRandom random = new SplittableRandom(1);
-  private final StandInState state = new StandInState(loop, random.split(), 0);
+
+  /** Of its own, so that a fleet that begins to report does not make the state service silent. */
+  private final NettyLoop stateLoop = new NettyLoop();
+
+  private final StandInState state = new StandInState(stateLoop, random.split(), 0);
   private final StandInCloud cloud;
   private final NettyClient client = new NettyClient(loop, SOCKETS);
   private final LoopbackNodes nodes;
   private final ExecutorService binding = Executors.newSingleThreadExecutor();
   private final List<StandInWorker> workers = new ArrayList<>();
-  private final Map<String, Job> described = new HashMap<>();
+  private final Map<String, Job> jobs = new HashMap<>();
   private int startedTasks;
 
   CostCluster(int size, LoopbackNodes.Limits limits) {
@@ -79,7 +79,7 @@
 
   /** The services listen; there is no machine yet. */
   void listen() throws InterruptedException {
-    new NettyServer(loop, state, SOCKETS).bind(STATE);
+    new NettyServer(stateLoop, state, SOCKETS).bind(STATE);
     new NettyServer(loop, cloud, SOCKETS).bind(CLOUD);
   }
 
@@ -107,7 +107,7 @@
             new NettyClient(loop, SOCKETS_PER_WORKER),
             machine,
             nodes.addresses(),
-            this::describe,
+            jobs::get,
             REPORT,
             LEASE,
             0,
@@ -126,17 +126,9 @@
     }
   }
 
-  private Job describe(String id) {
-    return described.computeIfAbsent(id, this::read);
-  }
-
-  private Job read(String id) {
-    JsonNode record = state.peek(Records.job(id));
-    try {
-      return record == null ? null : JobWire.parse(record.path("job"), Instant.now());
-    } catch (WireException e) {
-      return null;
-    }
+  /** The workers may be given the tasks of this job. Call it on the loop. */
+  void describe(Job job) {
+    jobs.put(job.id(), job);
   }
 
   /** How many tasks were ever started. */
@@ -144,11 +136,6 @@
     return onLoop(() -> startedTasks);
   }
 
-  /** How many tasks are on the machines now. */
-  int runningTasks() {
-    return onLoop(() -> workers.stream().mapToInt(worker -> worker.taken().size()).sum());
-  }
-
   /** How many reports the workers have made. */
   long reports() {
     return onLoop(() -> workers.stream().mapToLong(StandInWorker::descriptions).sum());
@@ -169,9 +156,12 @@
     return client.send(nodes.addresses().get(node), request, CALL_LIMIT);
   }
 
-  /** Commits changes as some other node might. Call it on the loop. */
+  /** Commits a change as some other node might. */
   CompletableFuture<Reply> commit(StateWire.Change change) {
-    return state.handle(StateWire.commit(Map.of(), List.of(change)));
+    CompletableFuture<Reply> result = new CompletableFuture<>();
+    Request request = StateWire.commit(Map.of(), List.of(change));
+    stateLoop.execute(() -> state.handle(request).thenAccept(result::complete));
+    return result;
   }
 
   NettyLoop loop() {
--- a/src/test/java/io/cherryspool/sim/CostDriver.java
+++ b/src/test/java/io/cherryspool/sim/CostDriver.java
@@ -125,6 +125,9 @@
       System.out.println(report);
     }
     System.out.println("\nLeases lost by workers meanwhile: " + cluster.leasesLost());
+    if (controllers.get(0).leadershipLost()) {
+      System.out.println("The leader changed meanwhile, so that no figure above counts.");
+    }
   }
 
   /** A folder that looks to a controller like the repository, but keeps idle machines. */
@@ -254,7 +257,7 @@
   }
 
   private void put(String key, JsonNode value) {
-    cluster.loop().execute(() -> cluster.commit(new StateWire.Change(key, value, 0)));
+    CostCluster.await(cluster.commit(new StateWire.Change(key, value, 0)));
   }
 
   private void measureJobs() throws InterruptedException {
@@ -306,8 +309,9 @@
   }
 
   private CompletableFuture<Reply> submit(int number, int tasks) {
-    byte[] body = Json.bytes(JobWire.encode(job(id(number), tasks, null)));
-    return cluster.ask(ASKED, Request.post("/api/jobs", body));
+    Job job = job(id(number), tasks, null);
+    cluster.describe(job);
+    return cluster.ask(ASKED, Request.post("/api/jobs", Json.bytes(JobWire.encode(job))));
   }
 
   private CompletableFuture<Reply> cancel(int number) {
