Rename the tests of combined faults, the fault injector and the state service's transport

MeetingFixture, MeetingsTest, LeaderMeetingsTest and MessageMeetingsTest are CombinedFaultsFixture, CombinedFaultsTest, LeaderFaultsTest and MessageFaultsTest; Troubles is FaultInjector, StateLine StateServiceTransport. No test changes otherwise.

--- a/src/test/java/io/cherryspool/controller/LeaderTermFixture.java
+++ b/src/test/java/io/cherryspool/controller/LeaderTermFixture.java
@@ -12,7 +12,7 @@
 import io.cherryspool.model.Resources;
 import io.cherryspool.model.Team;
 import io.cherryspool.sim.StandInState;
-import io.cherryspool.sim.StateLine;
+import io.cherryspool.sim.StateServiceTransport;
 import io.cherryspool.sim.VirtualTime;
 import io.cherryspool.store.RateLimiter;
 import io.cherryspool.store.Records;
@@ -59,7 +59,7 @@
     EventLoop loop = counting();
     RateLimiter rateLimiter = new RateLimiter(loop, 1, 1000, 1000);
     StateClient client =
-        new StateClient(loop, rateLimiter, new StateLine(time, state), ANYWHERE, CALL);
+        new StateClient(loop, rateLimiter, new StateServiceTransport(time, state), ANYWHERE, CALL);
     Replica replica =
         new Replica(loop, client, rateLimiter, Duration.ofMillis(5), CALL.dividedBy(2));
     replica.start();
--- a/src/test/java/io/cherryspool/controller/RoundWriterTest.java
+++ b/src/test/java/io/cherryspool/controller/RoundWriterTest.java
@@ -6,8 +6,8 @@
 
 import io.cherryspool.http.Endpoint;
 import io.cherryspool.sim.StandInState;
-import io.cherryspool.sim.StateLine;
-import io.cherryspool.sim.StateLine.Fate;
+import io.cherryspool.sim.StateServiceTransport;
+import io.cherryspool.sim.StateServiceTransport.Fate;
 import io.cherryspool.sim.VirtualTime;
 import io.cherryspool.store.RateLimiter;
 import io.cherryspool.store.StateClient;
@@ -27,7 +27,7 @@
 
   private final VirtualTime time = new VirtualTime();
   private final StandInState state = new StandInState(time, new SplittableRandom(1), 0);
-  private final StateLine line = new StateLine(time, state);
+  private final StateServiceTransport line = new StateServiceTransport(time, state);
   private final RateLimiter rateLimiter = new RateLimiter(time, 1, 1000, 1000);
   private final StateClient client =
       new StateClient(time, rateLimiter, line, new Endpoint("127.0.0.1", 1), Duration.ofSeconds(1));
@@ -51,7 +51,7 @@
   /** The second copy meets what the first has written. */
   @Test
   void aConflictWithOnesOwnCopyIsCertain() {
-    line.next(StateLine.COMMIT, Fate.LOSE_ANSWER);
+    line.next(StateServiceTransport.COMMIT, Fate.LOSE_ANSWER);
     write();
     run(0.2);
     assertNotNull(state.peek(SHARD));
@@ -63,10 +63,10 @@
   @ParameterizedTest
   @ValueSource(ints = {429, 503})
   void whatWasSurelyNotCarriedOutIsCertain(int status) {
-    line.answerNext(StateLine.COMMIT, status, "{}");
+    line.answerNext(StateServiceTransport.COMMIT, status, "{}");
     write();
     run(0.01);
-    line.release(StateLine.COMMIT);
+    line.release(StateServiceTransport.COMMIT);
     assertEquals(1, certain);
     assertNull(state.peek(SHARD));
   }
@@ -78,15 +78,16 @@
   @ParameterizedTest
   @ValueSource(ints = {429, 503})
   void aCopyThatIsRefusedLeavesTheOnesOfBeforeOpen(int status) {
-    line.next(StateLine.COMMIT, Fate.HOLD_REQUEST);
-    line.next(StateLine.COMMIT, Fate.HOLD_REQUEST);
-    line.answerNext(StateLine.COMMIT, status, "{}");
+    line.next(StateServiceTransport.COMMIT, Fate.HOLD_REQUEST);
+    line.next(StateServiceTransport.COMMIT, Fate.HOLD_REQUEST);
+    line.answerNext(StateServiceTransport.COMMIT, status, "{}");
     write();
     run(1.7);
-    assertEquals(3, line.count(StateLine.COMMIT), "two copies without an answer, and another");
-    line.releaseLast(StateLine.COMMIT);
+    assertEquals(
+        3, line.count(StateServiceTransport.COMMIT), "two copies without an answer, and another");
+    line.releaseLast(StateServiceTransport.COMMIT);
     assertEquals(0, certain);
-    line.release(StateLine.COMMIT);
+    line.release(StateServiceTransport.COMMIT);
     assertNotNull(state.peek(SHARD), "carried out late");
     run(1);
     assertEquals(1, certain);
@@ -94,11 +95,11 @@
 
   @Test
   void aWriterThatIsStoppedTellsNothing() {
-    line.next(StateLine.COMMIT, Fate.HOLD_ANSWER);
+    line.next(StateServiceTransport.COMMIT, Fate.HOLD_ANSWER);
     write();
     run(0.01);
     writer.stop();
-    line.release(StateLine.COMMIT);
+    line.release(StateServiceTransport.COMMIT);
     run(5);
     assertEquals(0, certain);
   }
--- a/src/test/java/io/cherryspool/controller/UserApiTest.java
+++ b/src/test/java/io/cherryspool/controller/UserApiTest.java
@@ -16,8 +16,8 @@
 import io.cherryspool.model.Resources;
 import io.cherryspool.model.Team;
 import io.cherryspool.sim.StandInState;
-import io.cherryspool.sim.StateLine;
-import io.cherryspool.sim.StateLine.Fate;
+import io.cherryspool.sim.StateServiceTransport;
+import io.cherryspool.sim.StateServiceTransport.Fate;
 import io.cherryspool.sim.VirtualTime;
 import io.cherryspool.store.GroupCommit;
 import io.cherryspool.store.RateLimiter;
@@ -56,7 +56,7 @@
 
   /** One node as far as users see it. */
   private final class Node {
-    private final StateLine line = new StateLine(time, state);
+    private final StateServiceTransport line = new StateServiceTransport(time, state);
     private final Replica replica;
     private final UserApi users;
     private List<MachineType> types = TYPES;
@@ -83,10 +83,10 @@
     /** All keys are read again, and stay so until the line lets them go. */
     void reload() {
       line.next("/keys", Fate.HOLD_REQUEST);
-      line.answerNext(StateLine.READING, 410, "{}");
+      line.answerNext(StateServiceTransport.READING, 410, "{}");
       replica.refresh();
       run(0.01);
-      line.release(StateLine.READING);
+      line.release(StateServiceTransport.READING);
       assertFalse(replica.loaded());
     }
   }
@@ -171,9 +171,9 @@
   /** The watch, which usually brings the news before anybody asks, is of no help here. */
   @Test
   void aNodeThatHasNotHeardOfAnAnswerReadsBeforeItsOwn() {
-    other.line.next(StateLine.WATCH, Fate.LOSE_ANSWER);
+    other.line.next(StateServiceTransport.WATCH, Fate.LOSE_ANSWER);
     run(10.5);
-    other.line.next(StateLine.WATCH, Fate.LOSE_ANSWER);
+    other.line.next(StateServiceTransport.WATCH, Fate.LOSE_ANSWER);
     soon(one.users.submit(job()));
     assertEquals("200 pending", soon(other.users.poll(JOB)));
     assertEquals("200 withdrawn", soon(one.users.cancel(JOB)));
@@ -202,7 +202,7 @@
 
   @Test
   void aSubmissionOfWhichOnlyTheAnswerIsLostIsAcceptedForAll() {
-    one.line.next(StateLine.COMMIT, Fate.LOSE_ANSWER);
+    one.line.next(StateServiceTransport.COMMIT, Fate.LOSE_ANSWER);
     CompletableFuture<Reply> first = one.users.submit(job());
     assertEquals("200 pending", soon(other.users.poll(JOB)));
     assertEquals("200 pending", soon(other.users.submit(job())));
@@ -216,7 +216,7 @@
   @Test
   void aCancelOfWhichOnlyTheAnswerIsLostIsConfirmedByAll() {
     soon(one.users.submit(job()));
-    one.line.next(StateLine.COMMIT, Fate.LOSE_ANSWER);
+    one.line.next(StateServiceTransport.COMMIT, Fate.LOSE_ANSWER);
     CompletableFuture<Reply> first = one.users.cancel(JOB);
     run(0.02);
     assertEquals("200 withdrawn", soon(other.users.poll(JOB)));
@@ -228,11 +228,11 @@
   @Test
   void aCancelThatMeetsTheEndOfTheJobTellsTheEnd() {
     soon(one.users.submit(job()));
-    one.line.next(StateLine.COMMIT, Fate.HOLD_REQUEST);
+    one.line.next(StateServiceTransport.COMMIT, Fate.HOLD_REQUEST);
     CompletableFuture<Reply> cancel = one.users.cancel(JOB);
     run(0.05);
     end(Outcome.DONE);
-    one.line.release(StateLine.COMMIT);
+    one.line.release(StateServiceTransport.COMMIT);
     assertEquals("200 done", soon(cancel));
   }
 
@@ -241,10 +241,10 @@
   void aCancelThatMetAConflictIsNotConfirmedWithoutAnOutcome() {
     soon(one.users.submit(job()));
     String failed = "{\"failed\":[\"" + Records.outcome(JOB) + "\"],\"epoch\":1}";
-    one.line.answerNext(StateLine.COMMIT, 409, failed);
+    one.line.answerNext(StateServiceTransport.COMMIT, 409, failed);
     CompletableFuture<Reply> cancel = one.users.cancel(JOB);
     run(0.05);
-    one.line.release(StateLine.COMMIT);
+    one.line.release(StateServiceTransport.COMMIT);
     assertEquals("503", soon(cancel));
     assertEquals("200 pending", soon(other.users.poll(JOB)));
     assertEquals("200 withdrawn", soon(one.users.cancel(JOB)));
@@ -253,16 +253,16 @@
   @Test
   void aSubmissionThatMetAConflictIsNotCalledUnknown() {
     String failed = "{\"failed\":[\"" + Records.job(JOB) + "\"],\"epoch\":1}";
-    one.line.answerNext(StateLine.COMMIT, 409, failed);
+    one.line.answerNext(StateServiceTransport.COMMIT, 409, failed);
     CompletableFuture<Reply> submission = one.users.submit(job());
     run(0.05);
-    one.line.release(StateLine.COMMIT);
+    one.line.release(StateServiceTransport.COMMIT);
     assertEquals("503", soon(submission));
   }
 
   @Test
   void requestsRepeatedWithinOneGroupAreAllAnswered() {
-    one.line.next(StateLine.COMMIT, Fate.HOLD_ANSWER);
+    one.line.next(StateServiceTransport.COMMIT, Fate.HOLD_ANSWER);
     List<CompletableFuture<Reply>> submissions =
         List.of(
             one.users.submit(job()),
@@ -270,7 +270,7 @@
             other.users.submit(job()),
             one.users.submit(job()));
     run(0.05);
-    one.line.release(StateLine.COMMIT);
+    one.line.release(StateServiceTransport.COMMIT);
     run(0.1);
     assertEquals(
         1, submissions.stream().filter(each -> each.join().status() == 201).count(), "one made it");
@@ -305,22 +305,22 @@
   /** Its commit goes on, and the copy that it then reads is the one before or the one after. */
   @Test
   void aSubmissionAndACancelUnderWayWhenAReloadBeginsAreNotAnsweredOlder() {
-    one.line.next(StateLine.COMMIT, Fate.HOLD_ANSWER);
+    one.line.next(StateServiceTransport.COMMIT, Fate.HOLD_ANSWER);
     CompletableFuture<Reply> submission = one.users.submit(job());
     run(0.05);
     one.reload();
-    one.line.release(StateLine.COMMIT);
+    one.line.release(StateServiceTransport.COMMIT);
     assertEquals("201 pending", told(submission));
     assertEquals("503", told(one.users.poll(JOB)));
     one.line.release("/keys");
     run(0.05);
     assertEquals("200 pending", soon(one.users.poll(JOB)));
-    one.line.next(StateLine.COMMIT, Fate.HOLD_REQUEST);
+    one.line.next(StateServiceTransport.COMMIT, Fate.HOLD_REQUEST);
     CompletableFuture<Reply> cancel = one.users.cancel(JOB);
     run(0.05);
     one.reload();
     end(Outcome.DONE);
-    one.line.release(StateLine.COMMIT);
+    one.line.release(StateServiceTransport.COMMIT);
     assertEquals("503", soon(cancel), "a conflict, and nothing can be read now");
     one.line.release("/keys");
     run(0.05);
@@ -346,10 +346,10 @@
       Node late = new Node();
       late.replica.start();
       run(0.05);
-      late.line.next(StateLine.READING, Fate.HOLD_REQUEST);
+      late.line.next(StateServiceTransport.READING, Fate.HOLD_REQUEST);
       CompletableFuture<Reply> answer = late.users.submit(body);
       soon(one.users.submit(job()));
-      late.line.release(StateLine.READING);
+      late.line.release(StateServiceTransport.READING);
       assertEquals("200 pending", soon(answer));
     }
   }
@@ -401,10 +401,10 @@
   @Test
   void aNodeThatLearnsThatItsCopyIsOldCantTell() {
     one.line.next("/keys", Fate.HOLD_REQUEST);
-    one.line.answerNext(StateLine.READING, 410, "{}");
+    one.line.answerNext(StateServiceTransport.READING, 410, "{}");
     CompletableFuture<Reply> answer = one.users.submit(without("lane"));
     run(0.01);
-    one.line.release(StateLine.READING);
+    one.line.release(StateServiceTransport.READING);
     assertEquals("503", soon(answer));
   }
 
--- a/src/test/java/io/cherryspool/sim/Cluster.java
+++ b/src/test/java/io/cherryspool/sim/Cluster.java
@@ -23,7 +23,8 @@
 
 /**
  * Controllers among the stand-ins in simulated time, with the rules checked after each step. It
- * makes no trouble by itself: a directed test brings its own, random days let {@link Troubles} do.
+ * makes no trouble by itself: a directed test brings its own, random days let {@link FaultInjector}
+ * do.
  */
 final class Cluster {
   static final List<String> ZONES = List.of("a", "b", "c");
--- a/src/test/java/io/cherryspool/sim/MeetingFixture.java
+++ b/src/test/java/io/cherryspool/sim/CombinedFaultsFixture.java
@@ -8,7 +8,7 @@
 import java.util.List;
 
 /** What the tests share that bring two troubles together on purpose. */
-abstract class MeetingFixture {
+abstract class CombinedFaultsFixture {
   static final Duration LONG = Duration.ofSeconds(120);
 
   Cluster cluster;
--- a/src/test/java/io/cherryspool/sim/MeetingsTest.java
+++ b/src/test/java/io/cherryspool/sim/CombinedFaultsTest.java
@@ -18,7 +18,7 @@
  * Where two troubles meet, each brought about on purpose. The rules are checked after every step;
  * each test says besides that the meeting came about, and what users may expect of it.
  */
-class MeetingsTest extends MeetingFixture {
+class CombinedFaultsTest extends CombinedFaultsFixture {
 
   /** Submissions, cancels, ends, rounds and elections are carried out; nobody is told so. */
   @ParameterizedTest
--- a/src/test/java/io/cherryspool/sim/Troubles.java
+++ b/src/test/java/io/cherryspool/sim/FaultInjector.java
@@ -8,8 +8,8 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
-/** Makes troubles of every kind, drawn by chance: alone, in pairs and in threes. */
-final class Troubles {
+/** Injects faults of every kind, drawn by chance: alone, in pairs and in threes. */
+final class FaultInjector {
   private final Cluster cluster;
   private final SplittableRandom random;
   private final double end;
@@ -19,7 +19,7 @@
    * @param end when the last may begin, in seconds
    * @param guests brings work of a team without a guarantee
    */
-  Troubles(Cluster cluster, double end, Runnable guests) {
+  FaultInjector(Cluster cluster, double end, Runnable guests) {
     this.cluster = cluster;
     this.random = cluster.random().split();
     this.end = end;
--- a/src/test/java/io/cherryspool/sim/GapTest.java
+++ b/src/test/java/io/cherryspool/sim/GapTest.java
@@ -23,7 +23,7 @@
  * <p>Each day asserts that the meeting came about: tasks of the jobs ran when another node
  * confirmed, the old leader refused and not yet replaced, and their leases were renewed after that.
  */
-class GapTest extends MeetingFixture {
+class GapTest extends CombinedFaultsFixture {
   private static final Duration OUTAGE = Cluster.CANCEL.plusSeconds(30);
 
   private Job job;
--- a/src/test/java/io/cherryspool/sim/LeaderMeetingsTest.java
+++ b/src/test/java/io/cherryspool/sim/LeaderFaultsTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Meetings in which leaders come and go; the rules are checked after every step. */
-class LeaderMeetingsTest extends MeetingFixture {
+class LeaderFaultsTest extends CombinedFaultsFixture {
 
   /** Workers and users still reach the leader that reaches nobody; another is elected. */
   @ParameterizedTest
--- a/src/test/java/io/cherryspool/sim/MessageMeetingsTest.java
+++ b/src/test/java/io/cherryspool/sim/MessageFaultsTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Meetings of messages that are late, held up, lost or repeated; the rules are always checked. */
-class MessageMeetingsTest extends MeetingFixture {
+class MessageFaultsTest extends CombinedFaultsFixture {
 
   /** A cancel, questions and a repeated submission meet the end of each job's last task. */
   @ParameterizedTest
--- a/src/test/java/io/cherryspool/sim/Simulation.java
+++ b/src/test/java/io/cherryspool/sim/Simulation.java
@@ -31,7 +31,7 @@
     cluster.net().copyReports(true);
     cluster.after(troubles, () -> cluster.net().copyReports(false));
     cluster.after(1, this::arrive);
-    new Troubles(cluster, troubles - 30, this::visit).begin();
+    new FaultInjector(cluster, troubles - 30, this::visit).begin();
     cluster.run(troubles + Cluster.CANCEL.toSeconds());
     // The last of the troubles is over; from here on nothing excuses silence or idle room.
     cluster.rules().quietFrom(cluster.time().now());
--- a/src/test/java/io/cherryspool/sim/StateLine.java
+++ b/src/test/java/io/cherryspool/sim/StateServiceTransport.java
@@ -14,10 +14,10 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * One node's line to the state service, on which a test decides what becomes of single messages.
- * All others take a millisecond each way.
+ * One node's connection to the state service, on which a test decides what becomes of single
+ * messages. All others take a millisecond each way.
  */
-public final class StateLine implements Transport {
+public final class StateServiceTransport implements Transport {
   /** What readings, watches and transactions have in their targets. */
   public static final String READING = "block_ms=0";
 
@@ -44,7 +44,7 @@
 
   private record Held(String target, Runnable message) {}
 
-  public StateLine(VirtualTime time, Handler state) {
+  public StateServiceTransport(VirtualTime time, Handler state) {
     this.time = time;
     this.state = state;
   }
--- a/src/test/java/io/cherryspool/sim/UnchangedReportTest.java
+++ b/src/test/java/io/cherryspool/sim/UnchangedReportTest.java
@@ -13,7 +13,7 @@
  * Each round gives out a newer token, which every machine shows in its next report. That was taken
  * for news: one small job made the leader plan for all machines again and again while work waited.
  */
-class UnchangedReportTest extends MeetingFixture {
+class UnchangedReportTest extends CombinedFaultsFixture {
   private static final int SMALL_JOBS = 12;
   private static final double APART_S = 8;
 
--- a/src/test/java/io/cherryspool/store/GroupCommitTest.java
+++ b/src/test/java/io/cherryspool/store/GroupCommitTest.java
@@ -8,8 +8,8 @@
 import io.cherryspool.http.Reply;
 import io.cherryspool.http.Request;
 import io.cherryspool.sim.StandInState;
-import io.cherryspool.sim.StateLine;
-import io.cherryspool.sim.StateLine.Fate;
+import io.cherryspool.sim.StateServiceTransport;
+import io.cherryspool.sim.StateServiceTransport.Fate;
 import io.cherryspool.sim.VirtualTime;
 import io.cherryspool.wire.Json;
 import io.cherryspool.wire.StateWire;
@@ -52,7 +52,7 @@
     return new GroupCommit(time, client, rateLimiter, 8, maxQueue, Duration.ofSeconds(1));
   }
 
-  private final StateLine line = new StateLine(time, state);
+  private final StateServiceTransport line = new StateServiceTransport(time, state);
 
   /** On a line of which single messages can be decided on. */
   private GroupCommit lined() {
@@ -131,13 +131,13 @@
     GroupCommit commits = lined();
     CompletableFuture<Boolean> first = put(commits, "c/first");
     List<CompletableFuture<Boolean>> group = putAll(commits, "c/a", "c/b", "c/c");
-    line.next(StateLine.COMMIT, Fate.LOSE_ANSWER);
+    line.next(StateServiceTransport.COMMIT, Fate.LOSE_ANSWER);
     run(0.01);
     assertEquals(true, first.getNow(null));
     run(0.5);
     assertEquals(List.of(false, false, false), known(group));
     assertNotNull(state.peek("c/c"));
-    assertEquals(3, line.count(StateLine.COMMIT));
+    assertEquals(3, line.count(StateServiceTransport.COMMIT));
   }
 
   @Test
@@ -145,13 +145,13 @@
     GroupCommit commits = lined();
     putAll(commits, "c/a", "c/b");
     run(0.1);
-    long before = line.count(StateLine.COMMIT);
+    long before = line.count(StateServiceTransport.COMMIT);
     CompletableFuture<Boolean> first = put(commits, "c/first");
     List<CompletableFuture<Boolean>> group = putAll(commits, "c/a", "c/c", "c/b", "c/d");
     run(0.1);
     assertEquals(true, first.getNow(null));
     assertEquals(List.of(false, true, false, true), known(group));
-    assertEquals(before + 3, line.count(StateLine.COMMIT));
+    assertEquals(before + 3, line.count(StateServiceTransport.COMMIT));
   }
 
   /** A user that repeats a request in a hurry cost the others a transaction for each. */
@@ -167,7 +167,7 @@
         List.of(true, false, true, false, false, false, true, false, false, false), known(group));
     assertEquals(
         3,
-        line.count(StateLine.COMMIT),
+        line.count(StateServiceTransport.COMMIT),
         "the first, the group, and the group without what conflicts");
   }
 
@@ -175,10 +175,10 @@
   void repeatedChangesThatMeetTheLimitGoAgain() {
     GroupCommit commits = lined();
     CompletableFuture<Boolean> first = put(commits, "c/first");
-    line.answerNext(StateLine.COMMIT, 429, "{}");
+    line.answerNext(StateServiceTransport.COMMIT, 429, "{}");
     List<CompletableFuture<Boolean>> group = putAll(commits, "c/a", "c/b", "c/a");
     run(0.1);
-    line.release(StateLine.COMMIT);
+    line.release(StateServiceTransport.COMMIT);
     run(0.3);
     assertEquals(true, first.getNow(null));
     assertEquals(List.of(true, true, false), known(group));
@@ -189,12 +189,12 @@
   @ValueSource(strings = {"[]", "[\"c/other\"]"})
   void aConflictThatNamesNoneOfTheGroupIsNoAnswerToAnyOfThem(String failed) {
     GroupCommit commits = lined();
-    line.answerNext(StateLine.COMMIT, 409, "{\"failed\":" + failed + ",\"epoch\":1}");
+    line.answerNext(StateServiceTransport.COMMIT, 409, "{\"failed\":" + failed + ",\"epoch\":1}");
     CompletableFuture<Boolean> result = put(commits, "c/a");
     run(0.1);
-    line.release(StateLine.COMMIT);
+    line.release(StateServiceTransport.COMMIT);
     run(0.1);
     assertTrue(result.isCompletedExceptionally());
-    assertEquals(1, line.count(StateLine.COMMIT));
+    assertEquals(1, line.count(StateServiceTransport.COMMIT));
   }
 }
--- a/src/test/java/io/cherryspool/store/ReplicaCostTest.java
+++ b/src/test/java/io/cherryspool/store/ReplicaCostTest.java
@@ -14,7 +14,7 @@
 import io.cherryspool.model.Priority;
 import io.cherryspool.model.Shard;
 import io.cherryspool.sim.HeapMeter;
-import io.cherryspool.sim.StateLine;
+import io.cherryspool.sim.StateServiceTransport;
 import io.cherryspool.sim.VirtualTime;
 import io.cherryspool.wire.Json;
 import java.time.Duration;
@@ -50,7 +50,7 @@
   private long revision;
 
   private CompletableFuture<Reply> send(Request request) {
-    if (request.target().contains(StateLine.WATCH)) {
+    if (request.target().contains(StateServiceTransport.WATCH)) {
       watch = new CompletableFuture<>();
       return watch;
     }
--- a/src/test/java/io/cherryspool/store/ReplicaTest.java
+++ b/src/test/java/io/cherryspool/store/ReplicaTest.java
@@ -11,8 +11,8 @@
 import io.cherryspool.model.Outcome;
 import io.cherryspool.model.Priority;
 import io.cherryspool.sim.StandInState;
-import io.cherryspool.sim.StateLine;
-import io.cherryspool.sim.StateLine.Fate;
+import io.cherryspool.sim.StateServiceTransport;
+import io.cherryspool.sim.StateServiceTransport.Fate;
 import io.cherryspool.sim.VirtualTime;
 import io.cherryspool.wire.StateWire;
 import java.time.Duration;
@@ -29,7 +29,7 @@
 
   private final VirtualTime time = new VirtualTime();
   private final StandInState state = new StandInState(time, new SplittableRandom(1), 0);
-  private final StateLine line = new StateLine(time, state);
+  private final StateServiceTransport line = new StateServiceTransport(time, state);
   private final RateLimiter rateLimiter = new RateLimiter(time, 1, 1000, 1000);
   private final StateClient client =
       new StateClient(time, rateLimiter, line, new Endpoint("127.0.0.1", 1), CALL);
@@ -63,7 +63,7 @@
 
   /** Loaded, with a watch open that will tell that the history is gone. */
   private void load() {
-    line.answerNext(StateLine.WATCH, 410, "{}");
+    line.answerNext(StateServiceTransport.WATCH, 410, "{}");
     replica.start();
     run(0.05);
     assertTrue(replica.loaded());
@@ -76,18 +76,18 @@
   @Test
   void aRequestIsNotAnsweredByAReadingThatWasSentBeforeIt() {
     load();
-    line.next(StateLine.READING, Fate.HOLD_ANSWER);
+    line.next(StateServiceTransport.READING, Fate.HOLD_ANSWER);
     CompletableFuture<Void> before = replica.refresh();
     run(0.05);
     CompletableFuture<Void> after = replica.refresh();
     accept(JOB);
-    line.next(StateLine.READING, Fate.HOLD_REQUEST);
-    line.release(StateLine.READING);
+    line.next(StateServiceTransport.READING, Fate.HOLD_REQUEST);
+    line.release(StateServiceTransport.READING);
     run(0.05);
     assertTrue(succeeded(before));
     assertNull(replica.job(JOB), "carried out before the job was accepted");
     assertFalse(after.isDone(), "its own reading is still under way");
-    line.release(StateLine.READING);
+    line.release(StateServiceTransport.READING);
     run(0.05);
     assertTrue(succeeded(after));
     assertNotNull(replica.job(JOB));
@@ -96,16 +96,16 @@
   @Test
   void whileAllKeysAreReadAgainRequestsAreRefusedAtOnce() {
     load();
-    line.next(StateLine.READING, Fate.HOLD_ANSWER);
+    line.next(StateServiceTransport.READING, Fate.HOLD_ANSWER);
     CompletableFuture<Void> sent = replica.refresh();
     run(0.05);
     CompletableFuture<Void> waits = replica.refresh();
     line.next("/keys", Fate.HOLD_REQUEST);
-    line.release(StateLine.WATCH);
+    line.release(StateServiceTransport.WATCH);
     assertFalse(replica.loaded());
     assertTrue(waits.isCompletedExceptionally(), "its reading would have been sent from a gap");
     assertTrue(replica.refresh().isCompletedExceptionally());
-    line.release(StateLine.READING);
+    line.release(StateServiceTransport.READING);
     assertTrue(succeeded(sent), "what was read before holds in the copy that is still there");
     line.release("/keys");
     run(0.05);
@@ -118,19 +118,19 @@
   @Test
   void aReloadNeverTakesTheCopyBack() {
     load();
-    line.next(StateLine.READING, Fate.HOLD_REQUEST);
+    line.next(StateServiceTransport.READING, Fate.HOLD_REQUEST);
     CompletableFuture<Void> reading = replica.refresh();
     run(0.05);
-    line.next(StateLine.READING, Fate.HOLD_ANSWER);
-    line.release(StateLine.WATCH);
+    line.next(StateServiceTransport.READING, Fate.HOLD_ANSWER);
+    line.release(StateServiceTransport.WATCH);
     run(0.05);
     accept(JOB);
-    line.release(StateLine.READING);
+    line.release(StateServiceTransport.READING);
     run(0.05);
     assertTrue(succeeded(reading));
     assertNotNull(replica.job(JOB), "a user may have been told so");
     assertFalse(replica.loaded());
-    line.release(StateLine.READING);
+    line.release(StateServiceTransport.READING);
     assertNotNull(replica.job(JOB));
     run(0.05);
     assertTrue(replica.loaded());
@@ -142,15 +142,15 @@
   void aReadingThatReturnsAfterTheReloadChangesNothing() {
     load();
     accept(JOB);
-    line.next(StateLine.READING, Fate.HOLD_ANSWER);
+    line.next(StateServiceTransport.READING, Fate.HOLD_ANSWER);
     CompletableFuture<Void> reading = replica.refresh();
     run(0.05);
     cancel(JOB);
-    line.release(StateLine.WATCH);
+    line.release(StateServiceTransport.WATCH);
     run(0.05);
     assertEquals(Outcome.CANCELLED, replica.job(JOB).outcome());
     Duration confirmed = replica.confirmed();
-    line.release(StateLine.READING);
+    line.release(StateServiceTransport.READING);
     assertTrue(succeeded(reading));
     assertEquals(Outcome.CANCELLED, replica.job(JOB).outcome());
     assertEquals(confirmed, replica.confirmed(), "read earlier than the copy");
@@ -161,13 +161,13 @@
   void aReadingFromBeforeTheReloadThatFindsTheHistoryGoneBeginsNoOther() {
     load();
     accept(JOB);
-    line.answerNext(StateLine.READING, 410, "{}");
+    line.answerNext(StateServiceTransport.READING, 410, "{}");
     CompletableFuture<Void> reading = replica.refresh();
     run(0.05);
-    line.release(StateLine.WATCH);
+    line.release(StateServiceTransport.WATCH);
     run(0.05);
     assertTrue(replica.loaded());
-    line.release(StateLine.READING);
+    line.release(StateServiceTransport.READING);
     assertTrue(reading.isCompletedExceptionally());
     assertTrue(replica.loaded());
     run(0.05);
