--- a/src/test/java/io/cherryspool/sim/LeaderFaultsTest.java
+++ b/src/test/java/io/cherryspool/sim/LeaderFaultsTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Meetings in which leaders come and go; the rules are checked after every step. */
+/** Combined faults in which leaders come and go; the rules are checked after every step. */
 class LeaderFaultsTest extends CombinedFaultsFixture {
 
   /** Workers and users still reach the leader that reaches nobody; another is elected. */
--- a/src/test/java/io/cherryspool/sim/MessageFaultsTest.java
+++ b/src/test/java/io/cherryspool/sim/MessageFaultsTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Meetings of messages that are late, held up, lost or repeated; the rules are always checked. */
+/** Combined faults of late, held up, lost or repeated messages; the rules are always checked. */
 class MessageFaultsTest extends CombinedFaultsFixture {
 
   /** A cancel, questions and a repeated submission meet the end of each job's last task. */
