See a machine anew when the catalog has been read anew

Since reports no longer make the view of a machine anew, one that nothing happened to kept the spot price of the time before, and was left out where the types of the catalog are compared by value. Found by reading the change again; RoundViewTest fails without the check.

--- a/src/main/java/io/cherryspool/controller/RoundView.java
+++ b/src/main/java/io/cherryspool/controller/RoundView.java
@@ -159,7 +159,8 @@
           && machine.failedJobs.values().removeIf(at -> now.minus(at).compareTo(SHUN) > 0)) {
         machine.view = null;
       }
-      if (machine.view == null) {
+      // The catalog is read anew now and then, with other prices.
+      if (machine.view == null || machine.view.type() != type) {
         machine.view = look(machine, type);
       }
       result.add(machine.view);
--- /dev/null
+++ b/src/test/java/io/cherryspool/controller/RoundViewTest.java
@@ -0,0 +1,67 @@
+package io.cherryspool.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+
+import io.cherryspool.model.MachineType;
+import io.cherryspool.model.Report;
+import io.cherryspool.model.Resources;
+import io.cherryspool.scheduler.ClusterView;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class RoundViewTest {
+  private static final Duration NOW = Duration.ofSeconds(100);
+  private static final Duration SILENCE = Duration.ofSeconds(5);
+  private static final Duration HALF_LEASE = Duration.ofSeconds(8);
+
+  private final Tokens tokens = new Tokens(5);
+  private final Fleet fleet = new Fleet();
+  private final RoundView view =
+      new RoundView(
+          null,
+          fleet,
+          new Rounds.Ledger(
+              new Ownership(null),
+              new PendingReleases(),
+              new StopRequests(),
+              new CrashLoopBackoff()),
+          tokens,
+          SILENCE,
+          HALF_LEASE,
+          20);
+
+  private static MachineType box(double spotPrice) {
+    return new MachineType(
+        "box",
+        new Resources(4, 0, 8),
+        30,
+        0.8,
+        0.27,
+        spotPrice,
+        Duration.ofSeconds(50),
+        List.of("a"));
+  }
+
+  private ClusterView.MachineView only(MachineType type) {
+    List<ClusterView.MachineView> machines = view.machines(List.of(type), NOW);
+    assertEquals(1, machines.size());
+    return machines.get(0);
+  }
+
+  /** Reports no longer make the view of a machine anew, and prices move all the time. */
+  @Test
+  void aMachineIsSeenWithTheNewestPriceAndOtherwiseKept() {
+    fleet.accept(
+        new Report(
+            "host-1", "10.0.0.1:1", "box", "a", true, 1, 1, tokens.current(), null, List.of()),
+        NOW);
+    MachineType first = box(0.1);
+    ClusterView.MachineView seen = only(first);
+    assertSame(first, seen.type());
+    assertSame(seen, only(first));
+    MachineType dearer = box(0.2);
+    assertSame(dearer, only(dearer).type());
+  }
+}
