Split the replica: an index of the records, a loader of all keys, and the reading itself

Change: RecordIndex keeps the records as objects, ReplicaLoader reads all keys and catches up, Replica keeps the linearizable readings and the watch.

--- /dev/null
+++ b/src/main/java/io/cherryspool/store/RecordIndex.java
@@ -0,0 +1,191 @@
+package io.cherryspool.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.cherryspool.model.MachineType;
+import io.cherryspool.model.Shard;
+import io.cherryspool.wire.CloudWire;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.StateWire;
+import io.cherryspool.wire.WireException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The records as objects: jobs with their progress, the term, the leader, the catalog. It is built
+ * from the values of keys, one at a time; where the values come from is its owner's matter.
+ */
+final class RecordIndex {
+  private static final Logger LOG = LoggerFactory.getLogger(RecordIndex.class);
+
+  private final List<Replica.Watcher> watchers = new ArrayList<>();
+  private final Map<String, JobEntry> jobs = new HashMap<>();
+  private final Map<String, JobEntry> active = new HashMap<>();
+  private long term;
+  private long termVersion;
+  private Records.Leader leader;
+  private Records.Successor successor;
+  private List<MachineType> catalog;
+  private long catalogVersion;
+
+  void watch(Replica.Watcher watcher) {
+    watchers.add(watcher);
+  }
+
+  void unwatch(Replica.Watcher watcher) {
+    watchers.remove(watcher);
+  }
+
+  /** The jobs with anything left to do: not ended, or with progress records still kept. */
+  Collection<JobEntry> active() {
+    return Collections.unmodifiableCollection(active.values());
+  }
+
+  /** All jobs ever accepted. */
+  Collection<JobEntry> jobs() {
+    return Collections.unmodifiableCollection(jobs.values());
+  }
+
+  int jobCount() {
+    return jobs.size();
+  }
+
+  /** The job, or null. */
+  JobEntry job(String id) {
+    return jobs.get(id);
+  }
+
+  long term() {
+    return term;
+  }
+
+  long termVersion() {
+    return termVersion;
+  }
+
+  /** Who leads, or null. */
+  Records.Leader leader() {
+    return leader;
+  }
+
+  /** Whom the last leader of this term made way for; null if it did not. */
+  Records.Successor successor() {
+    return successor != null && successor.term() == term ? successor : null;
+  }
+
+  /** The machine types as some leader last wrote them, or null. */
+  List<MachineType> catalog() {
+    return catalog;
+  }
+
+  long catalogVersion() {
+    return catalogVersion;
+  }
+
+  /** Replaces everything by these keys' values; jobs are read before what refers to them. */
+  void replaceAll(Collection<StateWire.Event> events) {
+    jobs.clear();
+    active.clear();
+    term = 0;
+    termVersion = 0;
+    leader = null;
+    successor = null;
+    catalog = null;
+    catalogVersion = 0;
+    Set<StateWire.Event> later = new HashSet<>();
+    for (StateWire.Event event : events) {
+      String key = event.key();
+      if (key.startsWith(Records.OUTCOMES) || key.startsWith(Records.PROGRESS)) {
+        later.add(event);
+      } else {
+        set(event);
+      }
+    }
+    later.forEach(this::set);
+    List.copyOf(watchers).forEach(Replica.Watcher::reloaded);
+  }
+
+  /** Takes in a key's new value, or with a null value its removal. */
+  void set(StateWire.Event event) {
+    String key = event.key();
+    JsonNode value = event.value();
+    if (key.startsWith(Records.PROGRESS)) {
+      setProgress(key.substring(Records.PROGRESS.length()), value, event.version());
+    } else if (key.startsWith(Records.JOBS)) {
+      setJob(key.substring(Records.JOBS.length()), value);
+    } else if (key.startsWith(Records.OUTCOMES)) {
+      setOutcome(key.substring(Records.OUTCOMES.length()), value);
+    } else if (key.equals(Records.TERM)) {
+      term = value == null ? 0 : Records.readTerm(value);
+      termVersion = value == null ? 0 : event.version();
+    } else if (key.equals(Records.LEADER)) {
+      leader = value == null ? null : Records.readLeader(value);
+    } else if (key.equals(Records.SUCCESSOR)) {
+      successor = value == null ? null : Records.readSuccessor(value);
+    } else if (key.equals(Records.CATALOG) && value != null) {
+      setCatalog(value, event.version());
+    }
+  }
+
+  private void setJob(String id, JsonNode value) {
+    if (value == null) {
+      return;
+    }
+    try {
+      JobEntry entry = new JobEntry(Records.readJob(value), Records.readTasksPerShard(value));
+      jobs.put(id, entry);
+      active.put(id, entry);
+      watchers.forEach(watcher -> watcher.changed(entry));
+    } catch (WireException e) {
+      LOG.error("the record of job {} is unreadable: {}", id, e.getMessage());
+    }
+  }
+
+  private void setOutcome(String id, JsonNode value) {
+    JobEntry entry = jobs.get(id);
+    if (entry != null && value != null) {
+      entry.setOutcome(Records.readOutcome(value));
+      settle(entry);
+      watchers.forEach(watcher -> watcher.changed(entry));
+    }
+  }
+
+  private void setProgress(String rest, JsonNode value, long version) {
+    int slash = rest.lastIndexOf('/');
+    JobEntry entry = slash < 0 ? null : jobs.get(rest.substring(0, slash));
+    if (entry != null) {
+      int index = Integer.parseInt(rest.substring(slash + 1));
+      JobEntry.Versioned record =
+          value == null ? null : new JobEntry.Versioned(Records.readShard(value), version);
+      Shard before = entry.setShard(index, record);
+      settle(entry);
+      Shard after = record == null ? Shard.EMPTY : record.shard();
+      watchers.forEach(watcher -> watcher.progressed(entry, before, after));
+    }
+  }
+
+  private void settle(JobEntry entry) {
+    if (entry.outcome() != null && entry.shards().isEmpty()) {
+      active.remove(entry.job().id());
+    } else {
+      active.put(entry.job().id(), entry);
+    }
+  }
+
+  private void setCatalog(JsonNode value, long version) {
+    try {
+      catalog = CloudWire.parseCatalog(value);
+      catalogVersion = version;
+    } catch (WireException e) {
+      LOG.error(
+          "the record of the catalog is unreadable: {} {}", e.getMessage(), Json.bytes(value));
+    }
+  }
+}
--- a/src/main/java/io/cherryspool/store/Replica.java
+++ b/src/main/java/io/cherryspool/store/Replica.java
@@ -1,23 +1,14 @@
 package io.cherryspool.store;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import io.cherryspool.lifecycle.EventLoop;
 import io.cherryspool.lifecycle.Lifecycle;
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Shard;
-import io.cherryspool.wire.CloudWire;
-import io.cherryspool.wire.Json;
 import io.cherryspool.wire.StateWire;
-import io.cherryspool.wire.WireException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -41,21 +32,12 @@
   private final Duration refreshGap;
   private final Duration slow;
   private final List<Runnable> listeners = new ArrayList<>();
-  private final List<Watcher> watchers = new ArrayList<>();
   private Runnable onLoaded = () -> {};
 
-  private final Map<String, JobEntry> jobs = new HashMap<>();
-  private final Map<String, JobEntry> active = new HashMap<>();
-  private long term;
-  private long termVersion;
-  private Records.Leader leader;
-  private Records.Successor successor;
-  private List<MachineType> catalog;
-  private long catalogVersion;
-
+  private final RecordIndex index = new RecordIndex();
   private boolean running;
   private boolean loaded;
-  private boolean loading;
+  private ReplicaLoader loader;
   private long revision;
   private Duration confirmed;
   private List<CompletableFuture<Void>> waiting = new ArrayList<>();
@@ -94,11 +76,11 @@
   }
 
   public void watch(Watcher watcher) {
-    watchers.add(watcher);
+    index.watch(watcher);
   }
 
   public void unwatch(Watcher watcher) {
-    watchers.remove(watcher);
+    index.unwatch(watcher);
   }
 
   /** Called once all keys have first been read. */
@@ -120,6 +102,10 @@
   @Override
   public void stop() {
     running = false;
+    if (loader != null) {
+      loader.cancel();
+      loader = null;
+    }
     cancel(readTimer);
     cancel(watchTimer);
     failWaiting("stopped");
@@ -136,49 +122,49 @@
 
   /** The jobs with anything left to do: not ended, or with progress records still kept. */
   public Collection<JobEntry> active() {
-    return Collections.unmodifiableCollection(active.values());
+    return index.active();
   }
 
   /** All jobs ever accepted. */
   public Collection<JobEntry> jobs() {
-    return Collections.unmodifiableCollection(jobs.values());
+    return index.jobs();
   }
 
   /** How many jobs were ever accepted. */
   public int jobCount() {
-    return jobs.size();
+    return index.jobCount();
   }
 
   /** The job, or null. */
   public JobEntry job(String id) {
-    return jobs.get(id);
+    return index.job(id);
   }
 
   public long term() {
-    return term;
+    return index.term();
   }
 
   public long termVersion() {
-    return termVersion;
+    return index.termVersion();
   }
 
   /** Who leads, or null. */
   public Records.Leader leader() {
-    return leader;
+    return index.leader();
   }
 
   /** Whom the last leader of this term made way for; null if it did not. */
   public Records.Successor successor() {
-    return successor != null && successor.term() == term ? successor : null;
+    return index.successor();
   }
 
   /** The machine types as some leader last wrote them, or null. */
   public List<MachineType> catalog() {
-    return catalog;
+    return index.catalog();
   }
 
   public long catalogVersion() {
-    return catalogVersion;
+    return index.catalogVersion();
   }
 
   /**
@@ -276,7 +262,7 @@
 
   private void watch() {
     watchTimer = null;
-    if (!running || loading) {
+    if (!running || loader != null) {
       return;
     }
     rateLimiter.force(0);
@@ -285,7 +271,7 @@
         .follow(Records.PREFIX, after, WATCH)
         .whenComplete(
             (changes, failure) -> {
-              if (!running || loading) {
+              if (!running || loader != null) {
                 return;
               }
               if (failure == null) {
@@ -293,7 +279,7 @@
               } else {
                 failed(failure, after);
               }
-              if (!loading && watchTimer == null) {
+              if (loader == null && watchTimer == null) {
                 watchTimer = loop.schedule(failure == null ? WATCH_GAP : RETRY, this::watch);
               }
             });
@@ -306,7 +292,7 @@
     boolean changed = false;
     for (StateWire.Event event : changes.events()) {
       if (event.version() > revision) {
-        set(event);
+        index.set(event);
         changed = true;
       }
     }
@@ -316,177 +302,27 @@
     }
   }
 
-  /**
-   * Reads all keys, then the changes since the first page. Pages are of different moments, so the
-   * copy is whole only after that catching up.
-   */
   private void load() {
-    if (loading || !running) {
+    if (loader != null || !running) {
       return;
     }
-    loading = true;
     loaded = false;
     failWaiting("reading all keys");
-    loadPage(null, -1, new HashMap<>());
-  }
-
-  private void loadPage(String after, long from, Map<String, StateWire.Event> found) {
-    if (!running) {
-      return;
-    }
-    rateLimiter.force(0);
-    client
-        .list(Records.PREFIX, after)
-        .whenComplete(
-            (page, failure) -> {
-              if (failure != null) {
-                loop.schedule(RETRY, () -> loadPage(after, from, found));
-                return;
-              }
-              long start = from < 0 ? page.revision() : from;
-              page.items().forEach(item -> found.put(item.key(), item));
-              if (page.more() && !page.items().isEmpty()) {
-                loadPage(page.items().get(page.items().size() - 1).key(), start, found);
-              } else {
-                catchUp(start, found);
-              }
-            });
-  }
-
-  private void catchUp(long from, Map<String, StateWire.Event> found) {
-    if (!running) {
-      return;
-    }
-    rateLimiter.force(0);
-    Duration sent = loop.now();
-    client
-        .follow(Records.PREFIX, from, Duration.ZERO)
-        .whenComplete(
-            (changes, failure) -> {
-              if (failure != null) {
-                boolean again = StateException.kindOf(failure) == StateException.Kind.GONE;
-                loop.schedule(
-                    RETRY,
-                    again ? () -> loadPage(null, -1, new HashMap<>()) : () -> catchUp(from, found));
-                return;
-              }
-              for (StateWire.Event event : changes.events()) {
-                StateWire.Event known = found.get(event.key());
-                if (known == null || known.version() <= event.version()) {
-                  found.put(event.key(), event);
-                }
-              }
-              if (changes.revision() < revision) {
-                // A reading from before was carried out later than this one and has been answered
-                // from the copy. What users were told must not be taken back.
-                catchUp(changes.revision(), found);
-                return;
-              }
-              replaceAll(found);
-              revision = changes.revision();
-              confirm(sent);
-              loading = false;
-              loaded = true;
-              LOG.info("read {} keys up to revision {}", found.size(), revision);
-              onLoaded.run();
-              onLoaded = () -> {};
-              listeners.forEach(Runnable::run);
-              watch();
-            });
-  }
-
-  private void replaceAll(Map<String, StateWire.Event> found) {
-    jobs.clear();
-    active.clear();
-    term = 0;
-    termVersion = 0;
-    leader = null;
-    successor = null;
-    catalog = null;
-    catalogVersion = 0;
-    Set<String> later = new HashSet<>();
-    found.forEach(
-        (key, event) -> {
-          if (key.startsWith(Records.OUTCOMES) || key.startsWith(Records.PROGRESS)) {
-            later.add(key);
-          } else {
-            set(event);
-          }
-        });
-    later.forEach(key -> set(found.get(key)));
-    List.copyOf(watchers).forEach(Watcher::reloaded);
-  }
-
-  private void set(StateWire.Event event) {
-    String key = event.key();
-    JsonNode value = event.value();
-    if (key.startsWith(Records.PROGRESS)) {
-      setProgress(key.substring(Records.PROGRESS.length()), value, event.version());
-    } else if (key.startsWith(Records.JOBS)) {
-      setJob(key.substring(Records.JOBS.length()), value);
-    } else if (key.startsWith(Records.OUTCOMES)) {
-      JobEntry entry = jobs.get(key.substring(Records.OUTCOMES.length()));
-      if (entry != null && value != null) {
-        entry.setOutcome(Records.readOutcome(value));
-        settle(entry);
-        watchers.forEach(watcher -> watcher.changed(entry));
-      }
-    } else if (key.equals(Records.TERM)) {
-      term = value == null ? 0 : Records.readTerm(value);
-      termVersion = value == null ? 0 : event.version();
-    } else if (key.equals(Records.LEADER)) {
-      leader = value == null ? null : Records.readLeader(value);
-    } else if (key.equals(Records.SUCCESSOR)) {
-      successor = value == null ? null : Records.readSuccessor(value);
-    } else if (key.equals(Records.CATALOG) && value != null) {
-      setCatalog(value, event.version());
-    }
-  }
-
-  private void setJob(String id, JsonNode value) {
-    if (value == null) {
-      return;
-    }
-    try {
-      JobEntry entry = new JobEntry(Records.readJob(value), Records.readTasksPerShard(value));
-      jobs.put(id, entry);
-      active.put(id, entry);
-      watchers.forEach(watcher -> watcher.changed(entry));
-    } catch (WireException e) {
-      LOG.error("the record of job {} is unreadable: {}", id, e.getMessage());
-    }
-  }
-
-  private void setProgress(String rest, JsonNode value, long version) {
-    int slash = rest.lastIndexOf('/');
-    JobEntry entry = slash < 0 ? null : jobs.get(rest.substring(0, slash));
-    if (entry != null) {
-      int index = Integer.parseInt(rest.substring(slash + 1));
-      JobEntry.Versioned record =
-          value == null ? null : new JobEntry.Versioned(Records.readShard(value), version);
-      Shard before = entry.setShard(index, record);
-      settle(entry);
-      Shard after = record == null ? Shard.EMPTY : record.shard();
-      watchers.forEach(watcher -> watcher.progressed(entry, before, after));
-    }
-  }
-
-  private void settle(JobEntry entry) {
-    if (entry.outcome() != null && entry.shards().isEmpty()) {
-      active.remove(entry.job().id());
-    } else {
-      active.put(entry.job().id(), entry);
-    }
-  }
-
-  private void setCatalog(JsonNode value, long version) {
-    try {
-      catalog = CloudWire.parseCatalog(value);
-      catalogVersion = version;
-    } catch (WireException e) {
-      LOG.error(
-          "the record of the catalog is unreadable: {} {}", e.getMessage(), Json.bytes(value));
-    }
+    loader = new ReplicaLoader(loop, client, rateLimiter, () -> revision, this::loaded);
+    loader.start();
+  }
+
+  private void loaded(ReplicaLoader.Loaded all) {
+    loader = null;
+    index.replaceAll(all.found().values());
+    revision = all.revision();
+    confirm(all.sent());
+    loaded = true;
+    LOG.info("read {} keys up to revision {}", all.found().size(), revision);
+    onLoaded.run();
+    onLoaded = () -> {};
+    listeners.forEach(Runnable::run);
+    watch();
   }
 
   private static void cancel(EventLoop.Timer timer) {
--- /dev/null
+++ b/src/main/java/io/cherryspool/store/ReplicaLoader.java
@@ -0,0 +1,120 @@
+package io.cherryspool.store;
+
+import io.cherryspool.lifecycle.EventLoop;
+import io.cherryspool.wire.StateWire;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/**
+ * Reads all keys, page by page, then the changes since the first page. Pages are of different
+ * moments, so that what was read is whole only after that catching up. Failures are retried until
+ * it succeeds or is cancelled.
+ */
+final class ReplicaLoader {
+  private static final Duration RETRY = Duration.ofMillis(300);
+
+  private final EventLoop loop;
+  private final StateClient client;
+  private final RateLimiter rateLimiter;
+  private final LongSupplier atLeast;
+  private final Consumer<Loaded> done;
+  private final Map<String, StateWire.Event> found = new HashMap<>();
+  private boolean cancelled;
+
+  /**
+   * All keys with their values at a revision.
+   *
+   * @param sent when the reading that made it whole was sent
+   */
+  record Loaded(Map<String, StateWire.Event> found, long revision, Duration sent) {}
+
+  /**
+   * @param atLeast the revision that the copy in use has reached; nothing older replaces it
+   */
+  ReplicaLoader(
+      EventLoop loop,
+      StateClient client,
+      RateLimiter rateLimiter,
+      LongSupplier atLeast,
+      Consumer<Loaded> done) {
+    this.loop = loop;
+    this.client = client;
+    this.rateLimiter = rateLimiter;
+    this.atLeast = atLeast;
+    this.done = done;
+  }
+
+  void start() {
+    found.clear();
+    loadPage(null, -1);
+  }
+
+  void cancel() {
+    cancelled = true;
+  }
+
+  private void loadPage(String after, long from) {
+    if (cancelled) {
+      return;
+    }
+    rateLimiter.force(0);
+    client
+        .list(Records.PREFIX, after)
+        .whenComplete(
+            (page, failure) -> {
+              if (failure != null) {
+                loop.schedule(RETRY, () -> loadPage(after, from));
+                return;
+              }
+              long start = from < 0 ? page.revision() : from;
+              page.items().forEach(item -> found.put(item.key(), item));
+              if (page.more() && !page.items().isEmpty()) {
+                loadPage(page.items().get(page.items().size() - 1).key(), start);
+              } else {
+                catchUp(start);
+              }
+            });
+  }
+
+  private void catchUp(long from) {
+    if (cancelled) {
+      return;
+    }
+    rateLimiter.force(0);
+    Duration sent = loop.now();
+    client
+        .follow(Records.PREFIX, from, Duration.ZERO)
+        .whenComplete(
+            (changes, failure) -> {
+              if (failure == null) {
+                take(changes, sent);
+              } else if (StateException.kindOf(failure) == StateException.Kind.GONE) {
+                loop.schedule(RETRY, this::start);
+              } else {
+                loop.schedule(RETRY, () -> catchUp(from));
+              }
+            });
+  }
+
+  private void take(StateWire.Changes changes, Duration sent) {
+    if (cancelled) {
+      return;
+    }
+    for (StateWire.Event event : changes.events()) {
+      StateWire.Event known = found.get(event.key());
+      if (known == null || known.version() <= event.version()) {
+        found.put(event.key(), event);
+      }
+    }
+    if (changes.revision() < atLeast.getAsLong()) {
+      // A reading from before was carried out later than this one and has been answered from the
+      // copy. What users were told must not be taken back.
+      catchUp(changes.revision());
+      return;
+    }
+    done.accept(new Loaded(found, changes.revision(), sent));
+  }
+}
