--- a/src/main/java/io/cherryspool/cli/Commands.java
+++ b/src/main/java/io/cherryspool/cli/Commands.java
@@ -14,6 +14,7 @@
     name = "cherryspool",
     mixinStandardHelpOptions = true,
     versionProvider = Commands.Version.class,
+    subcommands = {RecoveryCommands.class, SnapshotCommands.class},
     description = "A small cluster scheduler: three controllers, no disk.")
 final class Commands implements Runnable {
   @Spec private CommandSpec spec;
@@ -25,7 +26,8 @@
 
   @Override
   public void run() {
-    throw new ParameterException(spec.commandLine(), "Say what to do: serve or check-config.");
+    throw new ParameterException(
+        spec.commandLine(), "Say what to do: serve, check-config, recovery or snapshot.");
   }
 
   /** The files that both commands read. */
--- a/src/main/java/io/cherryspool/cli/Server.java
+++ b/src/main/java/io/cherryspool/cli/Server.java
@@ -2,6 +2,7 @@
 
 import io.cherryspool.config.ConfigException;
 import io.cherryspool.config.OperatorSettings;
+import io.cherryspool.config.RecoverySettings;
 import io.cherryspool.config.Settings;
 import io.cherryspool.controller.Controller;
 import io.cherryspool.http.NettyClient;
@@ -9,6 +10,7 @@
 import io.cherryspool.http.NettyServer;
 import io.cherryspool.mesh.Mesh;
 import io.cherryspool.mesh.NettyMesh;
+import io.cherryspool.recovery.SnapshotDirectory;
 import io.micrometer.core.instrument.Gauge;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -18,6 +20,8 @@
 import java.util.SplittableRandom;
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -127,6 +131,22 @@
             new SplittableRandom(entropy[0]),
             Instant::now,
             new UUID(entropy[1], entropy[2]).toString(),
-            metrics::scrape));
+            metrics::scrape,
+            operators
+                .recovery()
+                .flatMap(RecoverySettings::snapshotDirectory)
+                .map(directory -> snapshots(directory.resolve(platform.name())))));
+  }
+
+  /** Snapshots are written by a thread of their own, which ends with the process. */
+  private static Controller.SnapshotSupport snapshots(Path directory) {
+    ExecutorService writer =
+        Executors.newSingleThreadExecutor(
+            task -> {
+              Thread thread = new Thread(task, "snapshots");
+              thread.setDaemon(true);
+              return thread;
+            });
+    return new Controller.SnapshotSupport(new SnapshotDirectory(directory), writer);
   }
 }
--- /dev/null
+++ b/src/main/java/io/cherryspool/cli/SnapshotCommands.java
@@ -0,0 +1,96 @@
+package io.cherryspool.cli;
+
+import io.cherryspool.recovery.Snapshot;
+import io.cherryspool.recovery.SnapshotDirectory;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** What operators do with snapshots as files; no node has to run. */
+@Command(
+    name = "snapshot",
+    mixinStandardHelpOptions = true,
+    description = "Lists and checks the snapshots that nodes keep.")
+final class SnapshotCommands implements Runnable {
+  /** The exit status when a snapshot can't be used, or there is none. */
+  static final int REFUSED = 1;
+
+  @Spec private CommandSpec spec;
+
+  @Override
+  public void run() {
+    throw new ParameterException(spec.commandLine(), "Say what to do: list or verify.");
+  }
+
+  @Command(
+      name = "list",
+      mixinStandardHelpOptions = true,
+      description = "Lists a node's snapshots, the newest first, with what each is good for.")
+  int list(
+      @Parameters(paramLabel = "DIRECTORY", description = "The node's folder.") Path directory) {
+    if (!Files.isDirectory(directory)) {
+      System.err.println("cherryspool: " + directory + " is not a directory");
+      return REFUSED;
+    }
+    try {
+      List<String> names = new SnapshotDirectory(directory).names();
+      if (names.isEmpty()) {
+        System.err.println("cherryspool: " + directory + " holds no snapshots");
+        return REFUSED;
+      }
+      for (String name : names) {
+        System.out.println(name + "  " + described(directory.resolve(name)));
+      }
+      return 0;
+    } catch (IOException e) {
+      System.err.println("cherryspool: " + directory + ": " + e.getMessage());
+      return REFUSED;
+    }
+  }
+
+  private static String described(Path file) throws IOException {
+    try {
+      return description(Snapshot.decode(Files.readAllBytes(file)));
+    } catch (Snapshot.FaultException e) {
+      return e.fault() + ": " + e.getMessage();
+    }
+  }
+
+  private static String description(Snapshot snapshot) {
+    return String.format(
+        "taken %s, cluster %s, incarnation %d, revision %d, term %d, %d jobs",
+        snapshot.taken(),
+        snapshot.picture().cluster(),
+        snapshot.picture().origin().number(),
+        snapshot.picture().origin().revision(),
+        snapshot.picture().term(),
+        snapshot.picture().jobs().size());
+  }
+
+  @Command(
+      name = "verify",
+      mixinStandardHelpOptions = true,
+      description = "Reads a snapshot as a whole and says whether it can be used.")
+  int verify(@Parameters(paramLabel = "FILE", description = "The snapshot.") Path file) {
+    if (!Files.isRegularFile(file)) {
+      System.err.println("cherryspool: " + file + " is not a file");
+      return REFUSED;
+    }
+    try {
+      System.out.println(
+          file + " is good: " + description(Snapshot.decode(Files.readAllBytes(file))));
+      return 0;
+    } catch (Snapshot.FaultException e) {
+      System.err.println("cherryspool: " + file + ": " + e.fault() + ": " + e.getMessage());
+    } catch (IOException e) {
+      System.err.println("cherryspool: " + file + " can't be read: " + e.getMessage());
+    }
+    return REFUSED;
+  }
+}
--- a/src/main/java/io/cherryspool/config/OperatorSettings.java
+++ b/src/main/java/io/cherryspool/config/OperatorSettings.java
@@ -5,8 +5,10 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import javax.xml.XMLConstants;
 import javax.xml.parsers.DocumentBuilderFactory;
 import javax.xml.parsers.ParserConfigurationException;
@@ -27,6 +29,9 @@
     Duration idleKeep,
     Duration beginWithin,
     Optional<RecoverySettings> recovery) {
+  private static final List<String> RECOVERY_ELEMENTS =
+      List.of("recovery-gather", "recovery-hold", "snapshot-directory", "snapshot-interval");
+
   public static final OperatorSettings DEFAULTS =
       new OperatorSettings(
           Duration.ofSeconds(1),
@@ -70,16 +75,39 @@
   /** Losses of state are looked for where {@code <recovery>} is on. */
   private static Optional<RecoverySettings> recovery(Path file, Map<String, String> values)
       throws ConfigException {
+    RecoverySettings defaults = RecoverySettings.DEFAULTS;
     String mode = values.remove("recovery");
-    Duration gather =
-        duration(file, values, "recovery-gather", RecoverySettings.DEFAULTS.gather(), 0.5, 60);
-    if (mode == null || mode.equals("off")) {
+    boolean on = "on".equals(mode);
+    if (mode != null && !on && !mode.equals("off")) {
+      throw new ConfigException(file + ": <recovery> must be on or off, not " + mode);
+    }
+    if (!on) {
+      for (String name : RECOVERY_ELEMENTS) {
+        if (values.containsKey(name)) {
+          throw new ConfigException(file + ": <" + name + "> needs <recovery>on</recovery>");
+        }
+      }
       return Optional.empty();
     }
-    if (!mode.equals("on")) {
-      throw new ConfigException(file + ": <recovery> must be on or off, not " + mode);
+    Duration gather = duration(file, values, "recovery-gather", defaults.gather(), 0.5, 60);
+    boolean interval = values.containsKey("snapshot-interval");
+    Duration every =
+        duration(file, values, "snapshot-interval", defaults.snapshotInterval(), 1, 86_400);
+    String directory = values.remove("snapshot-directory");
+    if (directory == null && interval) {
+      throw new ConfigException(file + ": <snapshot-interval> needs <snapshot-directory>");
+    }
+    if (directory != null && directory.isEmpty()) {
+      throw new ConfigException(file + ": <snapshot-directory> must name a directory");
     }
-    return Optional.of(new RecoverySettings(gather));
+    return Optional.of(
+        new RecoverySettings(
+            gather, Optional.ofNullable(directory).map(Path::of), every, heldClasses(values)));
+  }
+
+  private static Set<String> heldClasses(Map<String, String> values) {
+    String text = values.remove("recovery-hold");
+    return text == null || text.isEmpty() ? Set.of() : Set.of(text.split("\\s+"));
   }
 
   private static Element root(Path file) throws ConfigException {
--- a/src/main/java/io/cherryspool/controller/Adoption.java
+++ b/src/main/java/io/cherryspool/controller/Adoption.java
@@ -2,6 +2,7 @@
 
 import io.cherryspool.model.Attempt;
 import io.cherryspool.model.Report;
+import io.cherryspool.model.TaskId;
 import io.cherryspool.recovery.Reconciliation;
 import io.cherryspool.recovery.Reconciliation.Decision;
 import io.cherryspool.store.JobEntry;
@@ -23,16 +24,22 @@
  */
 final class Adoption {
   /** Of records that hold every start: nothing to take in. */
-  static final Adoption NONE = new Adoption(null, null, null);
+  static final Adoption NONE = new Adoption(null, null, null, Set.of());
 
   private final Replica replica;
   private final Fleet fleet;
   private final Tokens tokens;
+  private final Set<String> heldClasses;
 
-  Adoption(Replica replica, Fleet fleet, Tokens tokens) {
+  /**
+   * @param heldClasses classes of which no task that may have ended unseen is run again before an
+   *     operator says so
+   */
+  Adoption(Replica replica, Fleet fleet, Tokens tokens, Set<String> heldClasses) {
     this.replica = replica;
     this.fleet = fleet;
     this.tokens = tokens;
+    this.heldClasses = heldClasses;
   }
 
   private boolean concerned() {
@@ -50,7 +57,7 @@
       return false;
     }
     Decision decision = decide(machine, item);
-    return decision == Decision.LEAVE
+    return decision == Decision.LEAVE && !replica.abandoned(item.task().job())
         || (decision == Decision.ADOPT || decision == Decision.COUNT_DONE)
             && concerns(item.task().job());
   }
@@ -68,9 +75,9 @@
     return false;
   }
 
-  /** Whether the job's tasks may run without a record, so that none may be placed. */
+  /** Whether no task of the job may be placed or started now. */
   boolean holdsBack(JobEntry entry) {
-    return concerned() && concerns(entry.job().id());
+    return concerned() && (concerns(entry.job().id()) || replica.held().contains(entry.job().id()));
   }
 
   private boolean concerns(String job) {
@@ -91,12 +98,7 @@
     int task = item.task().number();
     Attempt owner =
         task < entry.job().tasks() ? entry.shard(entry.shardOf(task)).shard().owner(task) : null;
-    MachineState machine = owner == null ? null : fleet.get(owner.machine());
-    return machine != null
-        && !machine.gone
-        && machine.latest != null
-        && machine.latest.session() == owner.session()
-        && machine.find(item.task(), owner.number()) != null;
+    return owner != null && reports(entry, owner);
   }
 
   /**
@@ -142,7 +144,9 @@
     String id = item.task().job();
     Decision decision = decide(machine, item);
     if (decision == Decision.LEAVE) {
-      unknown.add(id);
+      if (!replica.abandoned(id)) {
+        unknown.add(id);
+      }
     } else if (concerns(id) && decision == Decision.ADOPT) {
       pending.add(id);
       edits.adopt(
@@ -167,7 +171,9 @@
       }
       for (Report.TaskReport item : machine.latest.tasks()) {
         Decision decision = decide(machine, item);
-        boolean left = decision == Decision.LEAVE && !replica.unknownAtWorkers(item.task().job());
+        String id = item.task().job();
+        boolean noted = replica.unknownAtWorkers(id) || replica.abandoned(id);
+        boolean left = decision == Decision.LEAVE && !noted;
         if (left || decision == Decision.ADOPT || decision == Decision.COUNT_DONE) {
           return false;
         }
@@ -184,8 +190,44 @@
         RateLimiter.Use.ROUND);
   }
 
-  /** The change that ends the taking in. */
-  static RoundWriter.Unit settledUnit() {
-    return unit(Map.of(Records.SETTLED, 0L), Records.SETTLED, true);
+  /**
+   * The changes that end the taking in: first the jobs of which tasks may have ended unseen, where
+   * an operator wants to be asked, and once those are there, that it is over.
+   */
+  List<RoundWriter.Unit> settle() {
+    List<RoundWriter.Unit> units = new ArrayList<>();
+    for (JobEntry entry : replica.active()) {
+      String id = entry.job().id();
+      if (uncertain(entry) && !replica.held().contains(id)) {
+        units.add(unit(Map.of(Records.held(id), 0L), Records.held(id), true));
+      }
+    }
+    return units.isEmpty()
+        ? List.of(unit(Map.of(Records.SETTLED, 0L), Records.SETTLED, true))
+        : units;
+  }
+
+  private boolean uncertain(JobEntry entry) {
+    if (entry.outcome() != null
+        || !heldClasses.contains(entry.job().jobClass())
+        || !replica.rebuilt(entry.job().id())) {
+      return false;
+    }
+    int accounted = entry.doneCount();
+    for (JobEntry.Versioned item : entry.shards().values()) {
+      for (Attempt attempt : item.shard().owned().values()) {
+        accounted += reports(entry, attempt) ? 1 : 0;
+      }
+    }
+    return accounted < entry.job().tasks();
+  }
+
+  private boolean reports(JobEntry entry, Attempt attempt) {
+    MachineState machine = fleet.get(attempt.machine());
+    return machine != null
+        && !machine.gone
+        && machine.latest != null
+        && machine.latest.session() == attempt.session()
+        && machine.find(new TaskId(entry.job().id(), attempt.task()), attempt.number()) != null;
   }
 }
--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -18,6 +18,10 @@
 import io.cherryspool.recovery.NodeMemory;
 import io.cherryspool.recovery.Recovery;
 import io.cherryspool.recovery.RecoveryTimings;
+import io.cherryspool.recovery.Snapshot;
+import io.cherryspool.recovery.SnapshotStore;
+import io.cherryspool.recovery.SnapshotWriter;
+import io.cherryspool.recovery.Snapshots;
 import io.cherryspool.store.GroupCommit;
 import io.cherryspool.store.HistoryGuard;
 import io.cherryspool.store.Picture;
@@ -39,7 +43,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
@@ -81,6 +88,8 @@
   private final UserApi users;
   private final RecoveryNode recoveryNode;
   private final Recovery recovery;
+  private final RecoveryApi recoveryApi;
+  private SnapshotWriter snapshotWriter;
   private LeaderTerm leaderTerm;
   private EventLoop.Timer timer;
 
@@ -92,7 +101,11 @@
       RandomGenerator random,
       Supplier<Instant> wall,
       String instance,
-      Supplier<String> metrics) {}
+      Supplier<String> metrics,
+      Optional<SnapshotSupport> snapshots) {}
+
+  /** Where snapshots go, and who writes them. */
+  public record SnapshotSupport(SnapshotStore store, Executor background) {}
 
   public Controller(Settings settings, OperatorSettings operators, Surroundings given) {
     this.settings = settings;
@@ -133,7 +146,11 @@
             timings.stateLease(),
             election,
             this::leadership);
-    recovery = operators.recovery().map(wanted -> newRecovery(wanted, given.random())).orElse(null);
+    recovery = operators.recovery().map(wanted -> newRecovery(wanted, given)).orElse(null);
+    recoveryApi =
+        recovery == null
+            ? null
+            : new RecoveryApi(recoveryNode, recovery, replica, state, rateLimiter, snapshotWriter);
     cloud = new CloudClient(given.transport(), settings.cloud(), timings.cloudCall());
     workers = new WorkerClient(given.transport(), timings.workerCall());
     catalog = new CatalogKeeper(loop, cloud, replica, state, rateLimiter, election::leading);
@@ -152,15 +169,30 @@
             this::behind);
   }
 
-  private Recovery newRecovery(RecoverySettings wanted, RandomGenerator random) {
+  private Recovery newRecovery(RecoverySettings wanted, Surroundings given) {
     Settings.StateLimits limits = settings.stateLimits();
     Duration bootstrap = timings.report().multipliedBy(2).plus(timings.stateLease());
+    Optional<Snapshots> snapshots =
+        given.snapshots().map(support -> new Snapshots(support.store()));
+    Picture newest =
+        snapshots.flatMap(Snapshots::newest).map(Snapshot::picture).orElse(Picture.EMPTY);
+    if (snapshots.isPresent()) {
+      snapshotWriter =
+          new SnapshotWriter(
+              loop,
+              replica,
+              () -> recovery.serving(),
+              wall,
+              snapshots.get(),
+              given.snapshots().get().background(),
+              wanted.snapshotInterval());
+    }
     return new Recovery(
         loop,
         state,
         rateLimiter,
         replica,
-        random,
+        given.random(),
         new RecoveryTimings(
             wanted.gather(),
             bootstrap,
@@ -168,7 +200,7 @@
             limits.txnOps(),
             limits.writeRps() * REBUILD_WRITES),
         recoveryNode,
-        Picture.EMPTY);
+        newest);
   }
 
   @Override
@@ -188,6 +220,9 @@
         .register(registry);
     Gauge.builder("cherryspool.changes.waiting", commits::waiting).register(registry);
     Gauge.builder("cherryspool.changes.left", rateLimiter::left).register(registry);
+    if (recovery != null) {
+      new RecoveryMeters(recovery, replica, snapshotWriter).bindTo(registry);
+    }
   }
 
   @Override
@@ -199,6 +234,9 @@
       election.onLeaseEndedEarly(
           () -> recovery.lost(HistoryGuard.Loss.LEASE_FORGOTTEN, "this node's lease"));
     }
+    if (snapshotWriter != null) {
+      snapshotWriter.start();
+    }
     replica.start();
     election.start();
     catalog.start();
@@ -217,6 +255,9 @@
     if (recovery != null) {
       recovery.stop();
     }
+    if (snapshotWriter != null) {
+      snapshotWriter.stop();
+    }
     catalog.stop();
     election.stop();
     replica.stop();
@@ -335,7 +376,10 @@
             teams,
             catalog::types,
             wall,
-            meters),
+            meters,
+            operators.recovery().map(RecoverySettings::heldClasses).orElse(Set.of()),
+            Optional.ofNullable(recovery)
+                .map(known -> task -> known.lost(HistoryGuard.Loss.START_MISSING, task))),
         timings,
         replica.term(),
         this::termShown);
@@ -351,6 +395,9 @@
     if (path.equals("/ready")) {
       return method.equals("GET") ? done(ready()) : notAllowed();
     }
+    if (recoveryApi != null && path.startsWith(RecoveryApi.PATH)) {
+      return recoveryApi.handle(request);
+    }
     if (path.equals("/metrics")) {
       return method.equals("GET") ? done(metrics()) : notAllowed();
     }
--- a/src/main/java/io/cherryspool/controller/LeaderTerm.java
+++ b/src/main/java/io/cherryspool/controller/LeaderTerm.java
@@ -21,8 +21,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -66,6 +68,7 @@
   private final Provisioner provisioner;
   private final LongConsumer higherTerm;
   private final Authority authority;
+  private final Optional<Consumer<String>> startMissing;
   private final Duration started;
   private final Duration listLag;
   private final Set<String> toInspect = new LinkedHashSet<>();
@@ -97,12 +100,15 @@
     this.term = term;
     this.higherTerm = higherTerm;
     this.authority = cluster.authority();
+    this.startMissing = cluster.startMissing();
     this.started = loop.now();
     this.listLag = provisioningLimits.listLag();
     this.tokens = new Tokens(term);
     this.ownership = new Ownership(replica);
     this.adoption =
-        replica.rebuiltFromPart() ? new Adoption(replica, fleet, tokens) : Adoption.NONE;
+        replica.rebuiltFromPart()
+            ? new Adoption(replica, fleet, tokens, cluster.heldClasses())
+            : Adoption.NONE;
     this.workerCommands = new WorkerCommands(stopRequests, tokens, pendingReleases, adoption);
     this.commandSender =
         new CommandSender(loop, workers, tokens, timings.workerCall(), this::commandAnswered);
@@ -180,13 +186,20 @@
     }
   }
 
-  /** What does not change with the term. */
+  /**
+   * What does not change with the term.
+   *
+   * @param heldClasses see {@link Adoption}
+   * @param startMissing told of a task that a worker has and no record, where losses are looked for
+   */
   record Cluster(
       Authority authority,
       Map<String, Team> teams,
       Supplier<List<MachineType>> catalog,
       Supplier<Instant> wall,
-      Meters meters) {}
+      Meters meters,
+      Set<String> heldClasses,
+      Optional<Consumer<String>> startMissing) {}
 
   /** What the leader may still do: {@code acts} for workers, {@code sole} for the cloud. */
   record Authority(BooleanSupplier acts, BooleanSupplier sole) {}
@@ -296,6 +309,9 @@
       higherTerm.accept(Math.max(Token.term(report.token()), term + 1));
       return;
     }
+    if (startMissing.isPresent() && replica.settled() && lookForMissingStart(report)) {
+      return;
+    }
     MachineState known = fleet.get(report.machine());
     Report before = known == null ? null : known.latest;
     MachineStanding standing = rounds.standing(known);
@@ -316,6 +332,31 @@
     }
   }
 
+  /**
+   * Starts are recorded before they are ordered, and this leader has read all that was recorded
+   * before its term. A worker that knows of a later one proves that records were lost.
+   */
+  private boolean lookForMissingStart(Report report) {
+    for (Report.TaskReport item : report.tasks()) {
+      JobEntry entry = replica.job(item.task().job());
+      int task = item.task().number();
+      boolean recorded =
+          replica.abandoned(item.task().job())
+              || replica.unknownAtWorkers(item.task().job())
+              || entry != null
+                  && (entry.outcome() != null
+                      || task >= entry.job().tasks()
+                      || entry.shard(entry.shardOf(task)).shard().isDone(task)
+                      || entry.shard(entry.shardOf(task)).shard().history(task).attempts()
+                          >= item.attempt());
+      if (!recorded) {
+        startMissing.get().accept(item.task() + " try " + item.attempt());
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Saves what can be saved on a machine that goes; the rest may still finish in time. */
   private void drain(MachineState machine) {
     for (Ownership.Owned owned : ownership.on(machine.name)) {
--- a/src/main/java/io/cherryspool/controller/Rounds.java
+++ b/src/main/java/io/cherryspool/controller/Rounds.java
@@ -249,7 +249,7 @@
         edits.units(
             replica.active(), lastRun.minus(RELEASE_DELAY), lastRun.minus(MAX_RELEASE_DELAY)));
     if (settling && ledger.adoption().open()) {
-      units.add(Adoption.settledUnit());
+      units.addAll(ledger.adoption().settle());
     }
     lastCost = loop.now().minus(lastRun);
     if (units.isEmpty()) {
--- a/src/main/java/io/cherryspool/controller/UserApi.java
+++ b/src/main/java/io/cherryspool/controller/UserApi.java
@@ -150,7 +150,8 @@
    * they run is known only once all are heard.
    */
   private Reply unknown(String id) {
-    return replica.settled() && !replica.unknownAtWorkers(id)
+    boolean gone = replica.abandoned(id) || !replica.unknownAtWorkers(id);
+    return replica.settled() && gone
         ? notFound()
         : later("the records of this job are lost; submit it again");
   }
--- a/src/main/java/io/cherryspool/controller/WorkerCommands.java
+++ b/src/main/java/io/cherryspool/controller/WorkerCommands.java
@@ -58,6 +58,7 @@
       boolean here = item.attempt().session() == latest.session();
       if (here
           && item.entry().outcome() == null
+          && !adoption.holdsBack(item.entry())
           && stopRequests.graceFor(item) == null
           // An attempt that has ended must not run once more while its end waits to be written.
           && !pendingReleases.has(item)
--- a/src/main/java/io/cherryspool/recovery/PictureMerge.java
+++ b/src/main/java/io/cherryspool/recovery/PictureMerge.java
@@ -47,6 +47,7 @@
     }
     return new Picture(
         first.cluster().isEmpty() ? second.cluster() : first.cluster(),
+        first.nonce(),
         first.origin(),
         Math.max(first.term(), second.term()),
         first.catalog() == null ? second.catalog() : first.catalog(),
--- a/src/main/java/io/cherryspool/recovery/Recovery.java
+++ b/src/main/java/io/cherryspool/recovery/Recovery.java
@@ -53,6 +53,11 @@
   private boolean contributing;
   private boolean reading;
   private Duration lastAnswer;
+
+  /** The rebuild of another node that was last seen, and since when. */
+  private String seenNonce = "";
+
+  private Duration seenSince = Duration.ZERO;
   private Rebuilder rebuilder;
   private EventLoop.Timer timer;
 
@@ -104,8 +109,7 @@
       Incarnation.Origin reached = new Incarnation.Origin(present.number(), replica.revision());
       return new NodeMemory(phase, present.nonce(), reached, contributed);
     }
-    String nonce = lost == null ? "" : lost.nonce();
-    return new NodeMemory(phase, nonce, memory.origin(), contributed);
+    return new NodeMemory(phase, memory.nonce(), memory.origin(), contributed);
   }
 
   /** Whether the records may be relied on. */
@@ -178,17 +182,15 @@
     }
     events.lost(loss);
     LOG.warn("the state service has lost data ({}): {}; holding until it is rebuilt", loss, detail);
-    ledSurely = node.leadsSurely();
+    ledSurely = node.leadsSurely() && !loss.showsAnotherLeader();
     lost = present;
     remember();
     hold();
   }
 
   private void remember() {
-    Picture known = replica.picture();
-    if (known.origin().compareTo(memory.origin()) > 0) {
-      memory = known;
-    }
+    // A snapshot may hold what the records lack although they reach further: both are true.
+    memory = PictureMerge.merge(memory, replica.picture());
   }
 
   private void hold() {
@@ -210,7 +212,9 @@
       return;
     }
     Incarnation present = client.space().incarnation();
-    if (memory.origin().number() == present.number() && misses(present)) {
+    boolean same =
+        memory.origin().number() == present.number() && memory.nonce().equals(present.nonce());
+    if (same && misses(present)) {
       return;
     }
     phase = NodeMemory.Phase.SERVING;
@@ -337,11 +341,13 @@
     }
     Incarnation record = Incarnation.decode(found.value());
     if (!memory.cluster().isEmpty() && !memory.cluster().equals(record.cluster())) {
+      if (!events.foreign()) {
+        LOG.error(
+            "the state service holds cluster {}, and this node belongs to {}",
+            record.cluster(),
+            memory.cluster());
+      }
       events.foreignFound();
-      LOG.error(
-          "the state service holds cluster {}, and this node belongs to {}",
-          record.cluster(),
-          memory.cluster());
       return;
     }
     boolean older = record.number() < memory.origin().number();
@@ -382,11 +388,22 @@
         hold();
       }
       considerRebuild(null, 0);
-    } else if (loop.now().minus(since).compareTo(timings.patience()) > 0) {
+    } else if (nobodyRemembers()) {
       readForInstallation();
     }
   }
 
+  /**
+   * Whether it is known that no node remembers anything. Workers that have served lose their tasks
+   * unless somebody leads them soon, so that once all nodes were heard no more time is lost.
+   */
+  private boolean nobodyRemembers() {
+    Duration waited = loop.now().minus(since);
+    boolean allHeard = node.peers().size() == node.peerCount();
+    return waited.compareTo(timings.patience()) > 0
+        || waited.compareTo(timings.gather()) > 0 && allHeard && node.workersRemember();
+  }
+
   /**
    * Nobody remembers anything. Records without an identity are those of an installation that did
    * not look for losses before; without any, a worker that has served tells a loss from a first
@@ -408,7 +425,7 @@
                 LOG.warn(
                     "the state service is empty, and workers have served: all records are lost");
                 hold();
-                considerRebuild(null, 0);
+                rebuild(null, 0);
               } else {
                 install();
               }
@@ -446,9 +463,15 @@
         record != null
             && record.phase() == Incarnation.Phase.REBUILDING
             && memory.origin().compareTo(record.origin()) > 0;
+    if (!ownBetter && record != null && underWay(record)) {
+      return;
+    }
+    // A node that still serves hears of the loss by this one's revision, unless only workers tell
+    // it; then all that it has told is in what the service holds, which the rebuild reads.
+    boolean unaware = waited.compareTo(timings.gather().multipliedBy(2)) > 0;
     for (Peer peer : node.peers()) {
-      boolean rebuilds = peer.memory().phase() == NodeMemory.Phase.REBUILDING;
-      if (rebuilds && !ownBetter || better(peer) && (peer.reachesState() || patient)) {
+      boolean serves = peer.memory().phase() == NodeMemory.Phase.SERVING;
+      if (better(peer) && (peer.reachesState() || patient) && !(serves && unaware)) {
         return;
       }
     }
@@ -457,6 +480,27 @@
     }
   }
 
+  /**
+   * Whether another node may still be at this rebuild. One that is not heard of gets some time, for
+   * the nodes may not reach one another while all reach the service.
+   */
+  private boolean underWay(Incarnation record) {
+    if (record.phase() != Incarnation.Phase.REBUILDING) {
+      return false;
+    }
+    if (!record.nonce().equals(seenNonce)) {
+      seenNonce = record.nonce();
+      seenSince = loop.now();
+    }
+    for (Peer peer : node.peers()) {
+      if (peer.node().equals(record.rebuilder())) {
+        return peer.memory().phase() == NodeMemory.Phase.REBUILDING;
+      }
+    }
+    return !record.rebuilder().equals(node.name())
+        && loop.now().minus(seenSince).compareTo(timings.gather().multipliedBy(2)) < 0;
+  }
+
   private boolean better(Peer peer) {
     int order = peer.memory().origin().compareTo(memory.origin());
     return order > 0 || order == 0 && peer.node().compareTo(node.name()) < 0;
--- /dev/null
+++ b/src/main/java/io/cherryspool/recovery/Snapshot.java
@@ -0,0 +1,162 @@
+package io.cherryspool.recovery;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.cherryspool.store.Incarnation;
+import io.cherryspool.store.Picture;
+import io.cherryspool.store.PictureCodec;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.WireException;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * A picture as bytes: one line of JSON that describes it, then the chunks. The line carries a
+ * format version, the cluster and how far the picture reaches, and a digest of the chunks, so that
+ * a copy that is cut short, changed, of another cluster or of a later program is told from a good
+ * one.
+ *
+ * @param taken the time of day at which it was taken
+ */
+public record Snapshot(Picture picture, Instant taken) {
+  /** Of the files that this program writes, and the newest that it reads. */
+  public static final int FORMAT = 1;
+
+  /** Parts are small, so that reading one needs little memory at a time. */
+  private static final int CHUNK_BYTES = 256 * 1024;
+
+  private static final byte[] BEGIN =
+      "{\"cherryspool\":\"snapshot\"".getBytes(StandardCharsets.UTF_8);
+
+  private static final byte NEWLINE = '\n';
+
+  /** What is wrong with the bytes of a snapshot. */
+  public enum Fault {
+    /** It does not begin like a snapshot. */
+    NOT_A_SNAPSHOT,
+    /** A later program wrote it. */
+    NEWER_FORMAT,
+    /** Bytes are missing at its end. */
+    TORN,
+    /** Its bytes are not those that were written. */
+    DAMAGED,
+    /** It belongs to another cluster. */
+    FOREIGN
+  }
+
+  /** A snapshot that can't be used. */
+  public static final class FaultException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    private final Fault fault;
+
+    FaultException(Fault fault, String message) {
+      super(message);
+      this.fault = fault;
+    }
+
+    public Fault fault() {
+      return fault;
+    }
+  }
+
+  /** The bytes to keep. */
+  public byte[] encode() {
+    List<byte[]> chunks = PictureCodec.encode(picture.jobs(), CHUNK_BYTES);
+    ObjectNode head = Json.object().put("cherryspool", "snapshot").put("format", FORMAT);
+    head.put("cluster", picture.cluster());
+    head.put("incarnation", picture.origin().number());
+    head.put("nonce", picture.nonce());
+    head.put("revision", picture.origin().revision());
+    head.put("term", picture.term());
+    head.put("taken", taken.toEpochMilli());
+    head.put("jobs", picture.jobs().size());
+    head.put("digest", PictureCodec.digest(chunks));
+    if (picture.catalog() != null) {
+      head.set("catalog", picture.catalog());
+    }
+    ArrayNode lengths = head.putArray("chunks");
+    chunks.forEach(chunk -> lengths.add(chunk.length));
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    out.writeBytes(Json.bytes(head));
+    out.write(NEWLINE);
+    chunks.forEach(out::writeBytes);
+    return out.toByteArray();
+  }
+
+  /**
+   * Reads what {@link #encode} wrote.
+   *
+   * @throws FaultException naming what is wrong with the bytes
+   */
+  public static Snapshot decode(byte[] bytes) throws FaultException {
+    int end = 0;
+    while (end < bytes.length && bytes[end] != NEWLINE) {
+      end++;
+    }
+    boolean begins =
+        bytes.length >= BEGIN.length
+            && Arrays.equals(bytes, 0, BEGIN.length, BEGIN, 0, BEGIN.length);
+    if (!begins) {
+      throw new FaultException(Fault.NOT_A_SNAPSHOT, "it does not begin like one");
+    }
+    if (end == bytes.length) {
+      throw new FaultException(Fault.TORN, "it ends within its first line");
+    }
+    JsonNode head = head(Arrays.copyOf(bytes, end));
+    int format = head.path("format").intValue();
+    if (format > FORMAT) {
+      throw new FaultException(
+          Fault.NEWER_FORMAT, "format " + format + ", and this program reads up to " + FORMAT);
+    }
+    List<byte[]> chunks = chunks(bytes, end + 1, head);
+    if (!PictureCodec.digest(chunks).equals(head.path("digest").asText())) {
+      throw new FaultException(Fault.DAMAGED, "the digest does not match");
+    }
+    try {
+      Picture picture =
+          new Picture(
+              head.path("cluster").asText(),
+              head.path("nonce").asText(),
+              new Incarnation.Origin(
+                  head.path("incarnation").longValue(), head.path("revision").longValue()),
+              head.path("term").longValue(),
+              head.has("catalog") ? head.path("catalog") : null,
+              PictureCodec.decode(chunks));
+      return new Snapshot(picture, Instant.ofEpochMilli(head.path("taken").longValue()));
+    } catch (WireException e) {
+      throw new FaultException(Fault.DAMAGED, e.getMessage());
+    }
+  }
+
+  private static JsonNode head(byte[] line) throws FaultException {
+    try {
+      return Json.parseObject(line);
+    } catch (WireException e) {
+      throw new FaultException(Fault.DAMAGED, "its first line is " + e.getMessage());
+    }
+  }
+
+  private static List<byte[]> chunks(byte[] bytes, int start, JsonNode head) throws FaultException {
+    List<byte[]> chunks = new ArrayList<>();
+    int at = start;
+    for (JsonNode length : head.path("chunks")) {
+      int size = length.intValue();
+      if (size < 0 || size > bytes.length - at) {
+        throw new FaultException(
+            Fault.TORN, "chunk " + chunks.size() + " of " + head.path("chunks").size() + " is cut");
+      }
+      chunks.add(Arrays.copyOfRange(bytes, at, at + size));
+      at += size;
+    }
+    if (at != bytes.length) {
+      throw new FaultException(Fault.DAMAGED, bytes.length - at + " bytes too many");
+    }
+    return chunks;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/recovery/SnapshotDirectory.java
@@ -0,0 +1,79 @@
+package io.cherryspool.recovery;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Snapshots as files of one directory. A file is written beside, forced to the disk and renamed, so
+ * that a name never stands for half a file, and the directory is forced as well.
+ */
+public final class SnapshotDirectory implements SnapshotStore {
+  /** What the names of snapshots end with. */
+  public static final String SUFFIX = ".snapshot";
+
+  private static final String UNFINISHED = ".part";
+
+  private final Path directory;
+
+  public SnapshotDirectory(Path directory) {
+    this.directory = directory;
+  }
+
+  @Override
+  public void write(String name, byte[] bytes) throws IOException {
+    Files.createDirectories(directory);
+    Path part = directory.resolve(name + UNFINISHED);
+    try (FileChannel file =
+        FileChannel.open(
+            part,
+            StandardOpenOption.CREATE,
+            StandardOpenOption.TRUNCATE_EXISTING,
+            StandardOpenOption.WRITE)) {
+      ByteBuffer buffer = ByteBuffer.wrap(bytes);
+      while (buffer.hasRemaining()) {
+        file.write(buffer);
+      }
+      file.force(true);
+    }
+    Files.move(part, directory.resolve(name), StandardCopyOption.ATOMIC_MOVE);
+    try (FileChannel entries = FileChannel.open(directory, StandardOpenOption.READ)) {
+      entries.force(true);
+    }
+  }
+
+  @Override
+  public List<String> names() throws IOException {
+    List<String> names = new ArrayList<>();
+    if (Files.isDirectory(directory)) {
+      try (DirectoryStream<Path> files = Files.newDirectoryStream(directory, "*" + SUFFIX)) {
+        files.forEach(file -> names.add(file.getFileName().toString()));
+      }
+    }
+    names.sort(Comparator.reverseOrder());
+    return names;
+  }
+
+  @Override
+  public byte[] read(String name) throws IOException {
+    return Files.readAllBytes(directory.resolve(name));
+  }
+
+  @Override
+  public void delete(String name) throws IOException {
+    Files.deleteIfExists(directory.resolve(name));
+  }
+
+  @Override
+  public String toString() {
+    return directory.toString();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/cherryspool/recovery/SnapshotWriter.java
@@ -0,0 +1,88 @@
+package io.cherryspool.recovery;
+
+import io.cherryspool.lifecycle.EventLoop;
+import io.cherryspool.lifecycle.Lifecycle;
+import io.cherryspool.store.Incarnation;
+import io.cherryspool.store.Picture;
+import io.cherryspool.store.Replica;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/**
+ * Takes a snapshot of the records now and then, while they can be relied on and have changed. The
+ * picture is taken on the event loop, at the cost of what changed since the last one; it is written
+ * by {@code background}, one at a time.
+ */
+public final class SnapshotWriter implements Lifecycle {
+  private final EventLoop loop;
+  private final Replica replica;
+  private final BooleanSupplier serving;
+  private final Supplier<Instant> wall;
+  private final Snapshots snapshots;
+  private final Executor background;
+  private final Duration interval;
+  private volatile Snapshots.Written last;
+  private volatile boolean writing;
+  private Incarnation.Origin written = Incarnation.Origin.NONE;
+  private Duration writtenAt;
+  private EventLoop.Timer timer;
+
+  public SnapshotWriter(
+      EventLoop loop,
+      Replica replica,
+      BooleanSupplier serving,
+      Supplier<Instant> wall,
+      Snapshots snapshots,
+      Executor background,
+      Duration interval) {
+    this.loop = loop;
+    this.replica = replica;
+    this.serving = serving;
+    this.wall = wall;
+    this.snapshots = snapshots;
+    this.background = background;
+    this.interval = interval;
+  }
+
+  @Override
+  public void start() {
+    timer = loop.schedule(interval, this::start);
+    if (!serving.getAsBoolean() || writing) {
+      return;
+    }
+    Picture picture = replica.picture();
+    if (picture.origin().equals(written)) {
+      writtenAt = loop.now();
+      return;
+    }
+    Instant now = wall.get();
+    writing = true;
+    written = picture.origin();
+    writtenAt = loop.now();
+    background.execute(
+        () -> {
+          last = snapshots.write(picture, now);
+          writing = false;
+        });
+  }
+
+  @Override
+  public void stop() {
+    if (timer != null) {
+      timer.cancel();
+    }
+  }
+
+  /** What the last snapshot cost, null before the first. */
+  public Snapshots.Written last() {
+    return last;
+  }
+
+  /** How old what is kept is, in seconds; -1 before the first. */
+  public double ageSeconds() {
+    return writtenAt == null ? -1 : loop.now().minus(writtenAt).toMillis() / 1e3;
+  }
+}
--- a/src/main/java/io/cherryspool/store/HistoryGuard.java
+++ b/src/main/java/io/cherryspool/store/HistoryGuard.java
@@ -24,7 +24,14 @@
     /** A term that was given out is not recorded. */
     TERM_MISSING,
     /** A lease that was renewed in time is unknown. */
-    LEASE_FORGOTTEN
+    LEASE_FORGOTTEN,
+    /** A worker has a task of which the records know no such start. */
+    START_MISSING;
+
+    /** Whether somebody else may have led in what was lost, whoever led when it was noticed. */
+    public boolean showsAnotherLeader() {
+      return this == TERM_MISSING || this == START_MISSING;
+    }
   }
 
   /** The least revision that an answer to a request sent now can tell. */
--- a/src/main/java/io/cherryspool/store/Picture.java
+++ b/src/main/java/io/cherryspool/store/Picture.java
@@ -13,11 +13,13 @@
  * All records that must outlive a loss, at one point of the history. Immutable: taking one costs
  * nothing, and the next one shares what has not changed.
  *
+ * @param nonce of the incarnation that it is of
  * @param term the highest term known to have begun
  * @param catalog the machine types as some leader recorded them, null if none did
  */
 public record Picture(
     String cluster,
+    String nonce,
     Incarnation.Origin origin,
     long term,
     JsonNode catalog,
@@ -25,7 +27,7 @@
 
   /** What a node knows that remembers nothing. */
   public static final Picture EMPTY =
-      new Picture("", Incarnation.Origin.NONE, 0, null, HashTreePMap.empty());
+      new Picture("", "", Incarnation.Origin.NONE, 0, null, HashTreePMap.empty());
 
   /**
    * A job with its progress.
@@ -65,11 +67,11 @@
 
   /** The same records with other jobs. */
   public Picture withJobs(PMap<String, PictureJob> others) {
-    return new Picture(cluster, origin, term, catalog, others);
+    return new Picture(cluster, nonce, origin, term, catalog, others);
   }
 
   /** The same records at a term at least as high. */
   public Picture withTerm(long atLeast) {
-    return new Picture(cluster, origin, Math.max(term, atLeast), catalog, jobs);
+    return new Picture(cluster, nonce, origin, Math.max(term, atLeast), catalog, jobs);
   }
 }
--- a/src/main/java/io/cherryspool/store/RecordIndex.java
+++ b/src/main/java/io/cherryspool/store/RecordIndex.java
@@ -41,6 +41,8 @@
   private final Set<String> bundled = new HashSet<>();
 
   private final Set<String> unknown = new HashSet<>();
+  private final Set<String> abandoned = new HashSet<>();
+  private final Set<String> held = new HashSet<>();
   private boolean settled;
 
   RecordIndex(KeySpace space) {
@@ -111,6 +113,21 @@
     return settled;
   }
 
+  /** Unknown jobs that an operator has given up. */
+  Set<String> abandoned() {
+    return Collections.unmodifiableSet(abandoned);
+  }
+
+  /** The jobs that wait for an operator. */
+  Set<String> held() {
+    return Collections.unmodifiableSet(held);
+  }
+
+  /** Whether the job is from a rebuilt picture, not submitted since. */
+  boolean rebuilt(String id) {
+    return bundled.contains(id);
+  }
+
   /** The jobs that workers report and that nobody has described since the state was lost. */
   Set<String> unknown() {
     return Collections.unmodifiableSet(unknown);
@@ -132,6 +149,8 @@
     catalogRecord = null;
     bundled.clear();
     unknown.clear();
+    abandoned.clear();
+    held.clear();
     settled = false;
     rebuilt.forEach(this::addRebuilt);
     Set<StateWire.Event> later = new HashSet<>();
@@ -178,15 +197,23 @@
     } else if (key.equals(Records.SETTLED)) {
       settled = value != null;
     } else if (key.startsWith(Records.UNKNOWN)) {
-      setUnknown(key.substring(Records.UNKNOWN.length()), value != null);
+      setUnknown(key.substring(Records.UNKNOWN.length()), value);
+    } else if (key.startsWith(Records.HELD)) {
+      mark(held, key.substring(Records.HELD.length()), value != null);
     }
   }
 
-  private void setUnknown(String id, boolean present) {
+  private void setUnknown(String id, JsonNode value) {
+    boolean given = value != null && Records.isAbandoned(value);
+    mark(abandoned, id, given);
+    mark(unknown, id, value != null && !given);
+  }
+
+  private void mark(Set<String> ids, String id, boolean present) {
     if (present) {
-      unknown.add(id);
+      ids.add(id);
     } else {
-      unknown.remove(id);
+      ids.remove(id);
     }
     JobEntry entry = jobs.get(id);
     if (entry != null) {
--- a/src/main/java/io/cherryspool/store/Records.java
+++ b/src/main/java/io/cherryspool/store/Records.java
@@ -30,6 +30,9 @@
   /** Jobs that workers report and that nobody has described since the state was lost. */
   static final String UNKNOWN = "c/unknown/";
 
+  /** Jobs that wait for an operator, since their tasks may have ended unseen. */
+  static final String HELD = "c/held/";
+
   static final String JOBS = "c/jobs/";
   static final String OUTCOMES = "c/outcomes/";
   static final String PROGRESS = "c/progress/";
@@ -37,6 +40,8 @@
   /** An owned task with its history takes about this much, with the longest machine names seen. */
   private static final int BYTES_PER_TASK = 80;
 
+  private static final String ABANDONED = "abandoned";
+
   private static final int BUNDLE_OVERHEAD = 32;
 
   private Records() {}
@@ -69,6 +74,11 @@
     return UNKNOWN + id;
   }
 
+  /** The note that the job waits for an operator. */
+  public static String held(String id) {
+    return HELD + id;
+  }
+
   /** Whether a record with this key is never removed nor written again. */
   public static boolean isPermanent(String key) {
     return key.startsWith(JOBS) || key.startsWith(OUTCOMES) || key.startsWith(BUNDLES);
@@ -96,11 +106,20 @@
     return (valueBytes - BUNDLE_OVERHEAD) / 4 * 3;
   }
 
-  /** A record without a value. */
+  /** A record that only has to be there. */
   public static JsonNode mark() {
     return Json.object();
   }
 
+  /** The note of an unknown job that an operator has given up. */
+  public static JsonNode abandoned() {
+    return Json.object().put(ABANDONED, true);
+  }
+
+  static boolean isAbandoned(JsonNode node) {
+    return node.path(ABANDONED).asBoolean(false);
+  }
+
   public static JsonNode term(long term) {
     return Json.object().put("term", term);
   }
--- a/src/main/java/io/cherryspool/store/Remains.java
+++ b/src/main/java/io/cherryspool/store/Remains.java
@@ -45,7 +45,12 @@
       jobs = jobs.plus(entry.job().id(), Picture.PictureJob.of(entry));
     }
     return new Picture(
-        incarnation.cluster(), Incarnation.Origin.NONE, index.term(), index.catalogRecord(), jobs);
+        incarnation.cluster(),
+        incarnation.nonce(),
+        Incarnation.Origin.NONE,
+        index.term(),
+        index.catalogRecord(),
+        jobs);
   }
 
   /** The picture with a job or an end that was written on its own, unless it is known already. */
--- a/src/main/java/io/cherryspool/store/Replica.java
+++ b/src/main/java/io/cherryspool/store/Replica.java
@@ -173,6 +173,7 @@
     }
     return new Picture(
         incarnation.cluster(),
+        incarnation.nonce(),
         new Incarnation.Origin(incarnation.number(), revision),
         index.term(),
         index.catalogRecord(),
@@ -212,6 +213,21 @@
     return index.unknown();
   }
 
+  /** Whether an operator has given up this job, which nobody has described. */
+  public boolean abandoned(String id) {
+    return index.abandoned().contains(id);
+  }
+
+  /** The jobs that wait for an operator, since their tasks may have ended unseen. */
+  public Set<String> held() {
+    return index.held();
+  }
+
+  /** Whether the job is from a rebuilt picture, not submitted since. */
+  public boolean rebuilt(String id) {
+    return index.rebuilt(id);
+  }
+
   /** The revision that the copy has reached. */
   public long revision() {
     return revision;
@@ -457,7 +473,11 @@
 
   private void apply(StateWire.Event event) {
     if (pictures == null) {
-      index.set(event);
+      if (event.key().equals(Incarnation.KEY) && isRebuilt(event)) {
+        refuseRebuilt();
+      } else {
+        index.set(event);
+      }
       return;
     }
     lastChange = new LastChange(event);
@@ -492,7 +512,7 @@
             all -> {
               loader = null;
               if (pictures == null) {
-                loaded(all, List.of(), all.found().values());
+                loadedPlainly(all);
               } else {
                 loadedIncarnation(all);
               }
@@ -500,6 +520,32 @@
     loader.start();
   }
 
+  private void loadedPlainly(ReplicaLoader.Loaded all) {
+    StateWire.Event identity = all.found().get(Incarnation.KEY);
+    if (identity != null && isRebuilt(identity)) {
+      refuseRebuilt();
+    } else {
+      loaded(all, List.of(), all.found().values());
+    }
+  }
+
+  /**
+   * Whether the records are elsewhere now than where a node that looks for no losses reads them.
+   */
+  private static boolean isRebuilt(StateWire.Event identity) {
+    return identity.value() != null && Incarnation.decode(identity.value()).number() > 0;
+  }
+
+  /**
+   * A node that looks for no losses must not serve what was rebuilt: it would read and change the
+   * records of an incarnation that is over.
+   */
+  private void refuseRebuilt() {
+    LOG.error("the records were rebuilt after a loss; this node needs recovery switched on");
+    suspend();
+    watchTimer = loop.schedule(WATCH, () -> load(-1));
+  }
+
   /** Takes over what was read, unless it is not what the incarnation's record says. */
   private void loadedIncarnation(ReplicaLoader.Loaded all) {
     IncarnationRecords read = IncarnationRecords.of(all.found().values(), client.space());
--- a/src/test/java/io/cherryspool/config/ConfigTest.java
+++ b/src/test/java/io/cherryspool/config/ConfigTest.java
@@ -9,6 +9,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -120,4 +122,52 @@
       assertTrue(!e.getMessage().contains("\n"), e.getMessage());
     }
   }
+
+  private static String refusal(Path file, String text) throws Exception {
+    Files.writeString(file, "<cherryspool>" + text + "</cherryspool>");
+    String message =
+        assertThrows(ConfigException.class, () -> OperatorSettings.load(file)).getMessage();
+    assertTrue(message.contains(file.toString()), message);
+    return message;
+  }
+
+  @Test
+  void recoveryIsOffUnlessItIsAskedForAndItsSettingsAreChecked(@TempDir Path folder)
+      throws Exception {
+    Path file = folder.resolve("operators.xml");
+    Files.writeString(file, "<cherryspool><recovery>off</recovery></cherryspool>");
+    assertTrue(OperatorSettings.load(file).recovery().isEmpty());
+    assertTrue(OperatorSettings.DEFAULTS.recovery().isEmpty());
+    Files.writeString(
+        file,
+        "<cherryspool><recovery>on</recovery><recovery-gather>2</recovery-gather>"
+            + "<snapshot-directory>kept</snapshot-directory>"
+            + "<snapshot-interval>7</snapshot-interval>"
+            + "<recovery-hold>one  two</recovery-hold></cherryspool>");
+    RecoverySettings recovery = OperatorSettings.load(file).recovery().orElseThrow();
+    assertEquals(
+        new RecoverySettings(
+            Duration.ofSeconds(2),
+            Optional.of(Path.of("kept")),
+            Duration.ofSeconds(7),
+            Set.of("one", "two")),
+        recovery);
+    assertTrue(refusal(file, "<recovery>maybe</recovery>").contains("<recovery>"));
+    assertTrue(refusal(file, "<recovery-hold>x</recovery-hold>").contains("<recovery-hold>"));
+    String on = "<recovery>on</recovery>";
+    assertTrue(
+        refusal(file, on + "<recovery-gather>0</recovery-gather>").contains("<recovery-gather>"));
+    assertTrue(
+        refusal(file, on + "<snapshot-interval>3</snapshot-interval>")
+            .contains("<snapshot-directory>"));
+    assertTrue(
+        refusal(file, on + "<snapshot-directory> </snapshot-directory>")
+            .contains("<snapshot-directory>"));
+  }
+
+  /** The file that operators are told to take. */
+  @Test
+  void theShippedSettingsSwitchRecoveryOn() throws Exception {
+    assertTrue(OperatorSettings.load(Path.of("deploy/recovery.xml")).recovery().isPresent());
+  }
 }
--- a/src/test/java/io/cherryspool/controller/LeaderTermFixture.java
+++ b/src/test/java/io/cherryspool/controller/LeaderTermFixture.java
@@ -28,6 +28,8 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 
@@ -87,7 +89,9 @@
                 Map.of("red", new Team("red", 0, 0, 0, 0)),
                 () -> TYPES,
                 this::wall,
-                new Meters()),
+                new Meters(),
+                Set.of(),
+                Optional.empty()),
             timings(),
             TERM,
             higher -> {});
--- a/src/test/java/io/cherryspool/sim/Cluster.java
+++ b/src/test/java/io/cherryspool/sim/Cluster.java
@@ -4,11 +4,13 @@
 import io.cherryspool.config.RecoverySettings;
 import io.cherryspool.config.Settings;
 import io.cherryspool.http.Endpoint;
+import io.cherryspool.http.Request;
 import io.cherryspool.model.Job;
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Priority;
 import io.cherryspool.model.Resources;
 import io.cherryspool.model.Team;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -94,13 +96,13 @@
 
   /** So many controllers that look for losses of their state, and rebuild it. */
   static Cluster recovering(long seed, int controllers) {
+    return recovering(seed, controllers, RecoverySettings.DEFAULTS);
+  }
+
+  /** As above; with a directory for snapshots each node has a disk that outlives its processes. */
+  static Cluster recovering(long seed, int controllers, RecoverySettings recovery) {
     return new Cluster(
-        new SplittableRandom(seed),
-        controllers,
-        0,
-        WRITES,
-        0,
-        Optional.of(RecoverySettings.DEFAULTS));
+        new SplittableRandom(seed), controllers, 0, WRITES, 0, Optional.of(recovery));
   }
 
   OperatorSettings operators() {
@@ -390,6 +392,19 @@
     return cloud.up().stream().anyMatch(item -> item.name.equals(machine));
   }
 
+  /** An operator asks any node; returns the status of the answer, 0 without one. */
+  int operator(String what, String body) {
+    int[] status = {0};
+    net.from("operator", Gate.open())
+        .send(
+            nodes.get(0).address(),
+            Request.post("/recovery/" + what, body.getBytes(StandardCharsets.UTF_8)),
+            Duration.ofSeconds(2))
+        .thenAccept(reply -> status[0] = reply.status());
+    run(2.5);
+    return status[0];
+  }
+
   /** How often a worker's lease ran out, over all machines that live. */
   long leasesLost() {
     return workers.values().stream().mapToLong(worker -> worker.session() - 1).sum();
--- a/src/test/java/io/cherryspool/sim/ControllerNode.java
+++ b/src/test/java/io/cherryspool/sim/ControllerNode.java
@@ -1,5 +1,6 @@
 package io.cherryspool.sim;
 
+import io.cherryspool.config.RecoverySettings;
 import io.cherryspool.controller.Controller;
 import io.cherryspool.http.Endpoint;
 import io.cherryspool.mesh.Mesh;
@@ -15,6 +16,7 @@
   private final RandomGenerator random;
   private final int index;
   private final Endpoint address;
+  private final MemorySnapshots disk = new MemorySnapshots();
   private Gate gate;
   private boolean still;
   private boolean alone;
@@ -44,7 +46,12 @@
                 new SplittableRandom(random.nextLong()),
                 () -> Instant.EPOCH.plus(cluster.time().now()),
                 name() + "-life-" + life,
-                () -> ""));
+                () -> "",
+                cluster
+                    .operators()
+                    .recovery()
+                    .flatMap(RecoverySettings::snapshotDirectory)
+                    .map(directory -> new Controller.SnapshotSupport(disk, Runnable::run))));
     cluster.net().listen(address, controller, own);
     controller.start();
   }
@@ -89,6 +96,11 @@
     return controller != null && controller.leads();
   }
 
+  /** What its disk holds, whichever process wrote it. */
+  MemorySnapshots disk() {
+    return disk;
+  }
+
   /** Whether its process rebuilds lost records. */
   boolean rebuilds() {
     return controller != null && controller.rebuilds();
--- a/src/test/java/io/cherryspool/sim/ControllerProcess.java
+++ b/src/test/java/io/cherryspool/sim/ControllerProcess.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,9 @@
   private final CompletableFuture<Reached> leading = new CompletableFuture<>();
 
   private volatile boolean leadershipLost;
+  private final List<Line> lines = new ArrayList<>();
+
+  private record Line(long nanos, String text) {}
 
   /** The processor time of a thread, also of one that has ended, as it was last seen. */
   private record Used(ThreadTimes.Group group, long nanos) {}
@@ -60,6 +64,9 @@
         } else if (line.contains(LEADING)) {
           leading.complete(reached());
         }
+        synchronized (lines) {
+          lines.add(new Line(System.nanoTime(), line));
+        }
         writer.write(line);
         writer.newLine();
         writer.flush();
@@ -73,6 +80,23 @@
     return new Reached(used(), (System.nanoTime() - startNanos) / 1e6);
   }
 
+  /** When the log first told of this at or after the moment, by the steady clock; -1 if never. */
+  long toldAt(String text, long since) {
+    synchronized (lines) {
+      for (Line line : lines) {
+        if (line.nanos >= since && line.text.contains(text)) {
+          return line.nanos;
+        }
+      }
+    }
+    return -1;
+  }
+
+  /** Ends the process without a signal that it could take notice of. */
+  void kill() throws InterruptedException {
+    process.destroyForcibly().waitFor();
+  }
+
   Reached awaitListening() throws InterruptedException {
     return await(listening, "listen");
   }
--- a/src/test/java/io/cherryspool/sim/CostCluster.java
+++ b/src/test/java/io/cherryspool/sim/CostCluster.java
@@ -13,8 +13,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -33,11 +35,9 @@
   static final Duration REPORT = Duration.ofMillis(2500);
 
   private static final Duration LEASE = Duration.ofSeconds(16);
-  private static final Endpoint STATE = new Endpoint("127.77.1.1", 12379);
-  private static final Endpoint CLOUD = new Endpoint("127.77.1.2", 18443);
-  private static final String NODES = "127.77.0.";
+  private static final int STATE_PORT = 12379;
+  private static final int CLOUD_PORT = 18443;
   private static final int NODE_PORT = 18080;
-  private static final String WORKERS = "127.78.";
   private static final int SOCKETS = 256;
   private static final int SOCKETS_PER_WORKER = 4;
   private static final Duration CALL_LIMIT = Duration.ofSeconds(10);
@@ -54,6 +54,8 @@
           LoopbackNodes.ZONES);
 
   private final int size;
+  private final Endpoint stateAddress;
+  private final Endpoint cloudAddress;
   private final NettyLoop loop = new NettyLoop();
   private final SplittableRandom random = new SplittableRandom(1);
 
@@ -67,20 +69,45 @@
   private final ExecutorService binding = Executors.newSingleThreadExecutor();
   private final List<StandInWorker> workers = new ArrayList<>();
   private final Map<String, Job> jobs = new HashMap<>();
+  private final Map<String, Integer> completed = new HashMap<>();
+  private final Set<String> startedTwice = new HashSet<>();
   private int startedTasks;
+  private volatile long lastStart;
 
-  CostCluster(int size, LoopbackNodes.Limits limits) {
+  /**
+   * @param services the second part of the loopback addresses of services and controllers; the
+   *     workers have the one after it
+   */
+  CostCluster(int services, int controllers, int size, LoopbackNodes.Limits limits) {
     this.size = size;
-    nodes = new LoopbackNodes(NODES, NODE_PORT, STATE, CLOUD, REPORT, LEASE, limits);
+    String network = "127." + services + ".";
+    stateAddress = new Endpoint(network + "1.1", STATE_PORT);
+    cloudAddress = new Endpoint(network + "1.2", CLOUD_PORT);
+    nodes =
+        new LoopbackNodes(
+            controllers,
+            network + "0.",
+            NODE_PORT,
+            stateAddress,
+            cloudAddress,
+            REPORT,
+            LEASE,
+            limits);
     cloud =
         new StandInCloud(
-            loop, random.split(), List.of(BOX), size, WORKERS, this::boot, machine -> {});
+            loop,
+            random.split(),
+            List.of(BOX),
+            size,
+            "127." + (services + 1) + ".",
+            this::boot,
+            machine -> {});
   }
 
   /** The services listen; there is no machine yet. */
   void listen() throws InterruptedException {
-    new NettyServer(stateLoop, state, SOCKETS).bind(STATE);
-    new NettyServer(loop, cloud, SOCKETS).bind(CLOUD);
+    new NettyServer(stateLoop, state, SOCKETS).bind(stateAddress);
+    new NettyServer(loop, cloud, SOCKETS).bind(cloudAddress);
   }
 
   LoopbackNodes nodes() {
@@ -111,8 +138,8 @@
             REPORT,
             LEASE,
             0,
-            (on, task) -> startedTasks++,
-            task -> {});
+            this::started,
+            task -> completed.merge(task, 1, Integer::sum));
     workers.add(worker);
     // Binding waits for the loop, on which this runs.
     binding.execute(() -> listen(machine, worker));
@@ -126,11 +153,76 @@
     }
   }
 
+  private void started(StandInWorker on, String task) {
+    startedTasks++;
+    lastStart = System.nanoTime();
+    for (StandInWorker other : workers) {
+      if (other != on && other.onMachine().contains(task)) {
+        startedTwice.add(task);
+      }
+    }
+  }
+
+  /** The state service loses its data. */
+  void loseState() {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    stateLoop.execute(
+        () -> {
+          state.loseAll();
+          done.complete(null);
+        });
+    await(done);
+  }
+
+  /** Requests and changes that the state service has taken. */
+  long[] stateLoad() {
+    CompletableFuture<long[]> load = new CompletableFuture<>();
+    stateLoop.execute(() -> load.complete(new long[] {state.requests(), state.changes()}));
+    return await(load);
+  }
+
+  /** Tasks that were started on one machine while they were on another. */
+  Set<String> startedTwice() {
+    return onLoop(() -> Set.copyOf(startedTwice));
+  }
+
+  /** How often each task has completed. */
+  Map<String, Integer> completed() {
+    return onLoop(() -> Map.copyOf(completed));
+  }
+
+  /** How many machines there are. */
+  int machines() {
+    return size;
+  }
+
+  /** So many running tasks complete now, whatever they were to take. */
+  void finishTasks(int count) {
+    onLoop(
+        () -> {
+          workers.stream()
+              .filter(worker -> !worker.onMachine().isEmpty())
+              .limit(count)
+              .forEach(StandInWorker::finishOne);
+          return null;
+        });
+  }
+
+  /** How many tasks are on machines now. */
+  int onMachines() {
+    return onLoop(() -> workers.stream().mapToInt(worker -> worker.onMachine().size()).sum());
+  }
+
   /** The workers may be given the tasks of this job. Call it on the loop. */
   void describe(Job job) {
     jobs.put(job.id(), job);
   }
 
+  /** When a task was last started, by this machine's steady clock. */
+  long lastStart() {
+    return lastStart;
+  }
+
   /** How many tasks were ever started. */
   int startedTasks() {
     return onLoop(() -> startedTasks);
--- a/src/test/java/io/cherryspool/sim/CostDriver.java
+++ b/src/test/java/io/cherryspool/sim/CostDriver.java
@@ -34,6 +34,7 @@
 public final class CostDriver {
   private static final Path WORK = Path.of("target", "costs");
   private static final String ASKED = LoopbackNodes.name(1);
+  private static final int CONTROLLERS = LoopbackNodes.ZONES.size();
   private static final LoopbackNodes.Limits LIMITS = new LoopbackNodes.Limits(400, 160, 2048, 0);
 
   private static final Duration SAMPLE = Duration.ofMillis(500);
@@ -79,7 +80,7 @@
   private CostDriver(int machines, boolean memory) {
     this.machines = machines;
     this.memory = memory;
-    this.cluster = new CostCluster(machines, LIMITS);
+    this.cluster = new CostCluster(77, CONTROLLERS, machines, LIMITS);
   }
 
   /** Takes the number of machines, and {@code memory} to measure that instead of time. */
@@ -146,7 +147,7 @@
     ServiceCommand service = ServiceCommand.read();
     List<String> options =
         memory ? List.of("-XX:NativeMemoryTracking=summary", "-XX:+UsePerfData") : List.of();
-    for (int i = 0; i < LoopbackNodes.ZONES.size(); i++) {
+    for (int i = 0; i < CONTROLLERS; i++) {
       Path settings = cluster.nodes().write(WORK, i).toAbsolutePath();
       Path log = WORK.resolve(LoopbackNodes.name(i) + ".log");
       ControllerProcess controller =
--- a/src/test/java/io/cherryspool/sim/LoopbackNodes.java
+++ b/src/test/java/io/cherryspool/sim/LoopbackNodes.java
@@ -12,10 +12,11 @@
 import java.util.List;
 import java.util.Map;
 
-/** Three nodes on addresses of the loopback network, and their settings files. */
+/** Nodes on addresses of the loopback network, and their settings files. */
 final class LoopbackNodes {
   static final List<String> ZONES = List.of("a", "b", "c");
 
+  private final int count;
   private final String network;
   private final int port;
   private final Endpoint state;
@@ -33,6 +34,7 @@
 
   /** The nodes have the first addresses of the network; {@code port + 1} is for their own words. */
   LoopbackNodes(
+      int count,
       String network,
       int port,
       Endpoint state,
@@ -40,6 +42,7 @@
       Duration report,
       Duration lease,
       Limits limits) {
+    this.count = count;
     this.network = network;
     this.port = port;
     this.state = state;
@@ -47,11 +50,15 @@
     this.report = report;
     this.lease = lease;
     this.limits = limits;
-    for (int i = 0; i < ZONES.size(); i++) {
+    for (int i = 0; i < count; i++) {
       addresses.put(name(i), new Endpoint(host(i), port));
     }
   }
 
+  private static String zone(int index) {
+    return ZONES.get(index % ZONES.size());
+  }
+
   /** The address of each node by its name. */
   Map<String, Endpoint> addresses() {
     return addresses;
@@ -76,14 +83,14 @@
   }
 
   private ObjectNode settings(int index) {
-    ObjectNode root = Json.object().put("host_name", name(index)).put("site", ZONES.get(index));
+    ObjectNode root = Json.object().put("host_name", name(index)).put("site", zone(index));
     root.put("client_listen", addresses.get(name(index)).toString());
     root.put("mesh_addr", mesh(index));
     ArrayNode known = root.putArray("known");
-    for (int i = 0; i < ZONES.size(); i++) {
+    for (int i = 0; i < count; i++) {
       if (i != index) {
         ObjectNode peer = known.addObject().put("host_name", name(i));
-        peer.put("site", ZONES.get(i)).put("endpoint", mesh(i));
+        peer.put("site", zone(i)).put("endpoint", mesh(i));
       }
     }
     root.putObject("services").put("cloud", cloud.toString()).put("state", state.toString());
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/LostStateDaysTest.java
@@ -0,0 +1,13 @@
+package io.cherryspool.sim;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Random days on which the state service loses its data again and again, among other faults. */
+class LostStateDaysTest {
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+  void theRulesHoldAndEverythingEnds(long seed) {
+    new Simulation(Cluster.recovering(seed, 3 + (int) seed % 3)).playWithLosses(240, 240);
+  }
+}
--- a/src/test/java/io/cherryspool/sim/LostStateTest.java
+++ b/src/test/java/io/cherryspool/sim/LostStateTest.java
@@ -179,4 +179,54 @@
     cluster.state().holdBack(0);
     allIsWell(jobs);
   }
+
+  /**
+   * Each node has just accepted a job of which no other has heard, nor has its own copy: all of
+   * them are told to users and must be in what one of the nodes rebuilds.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void whatEachNodeToldLastIsKept(long seed) {
+    List<Job> jobs = busyCluster(seed, 3 + (int) seed % 3);
+    List<Job> last = new ArrayList<>();
+    // Asked at all nodes all the time: none may answer before it knows all that was told.
+    cluster.users().storm(60);
+    for (ControllerNode node : cluster.nodes()) {
+      Job job = cluster.job("guest", 1, 0.5, Duration.ofSeconds(3));
+      cluster.users().submit(job, node.address());
+      last.add(job);
+    }
+    boolean all = false;
+    while (!all && cluster.time().seconds() < 60) {
+      cluster.run(0.001);
+      all = last.stream().allMatch(job -> cluster.rules().isAccepted(job.id()));
+    }
+    assertTrue(all, "all of them are accepted");
+    cluster.state().loseAll();
+    jobs.addAll(last);
+    allIsWell(jobs);
+  }
+
+  /**
+   * The service is set back and all controllers end, so that no node remembers anything. Workers
+   * run tasks that the records have as free; only their reports tell.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+  void onlyWorkersKnowThatTheServiceWasSetBack(long seed) {
+    cluster = Cluster.recovering(seed, 3 + (int) seed % 3);
+    cluster.run(25);
+    Job job = submit("blue", 60, 4, Duration.ofSeconds(6 + seed % 5));
+    cluster.run(6);
+    StandInState.Saved saved = cluster.state().save();
+    int started = cluster.rules().starts();
+    cluster.run(4 + seed % 6);
+    assertTrue(cluster.rules().starts() > started, "tasks were started meanwhile");
+    cluster.state().loseTo(saved);
+    for (ControllerNode node : cluster.nodes()) {
+      node.crash(Duration.ofMillis(200 + 300 * (seed % 4)));
+    }
+    cluster.run(150);
+    assertTrue(cluster.rules().ended(job.id()));
+  }
 }
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/MemorySnapshots.java
@@ -0,0 +1,56 @@
+package io.cherryspool.sim;
+
+import io.cherryspool.recovery.SnapshotStore;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.TreeMap;
+
+/** A disk that outlives the processes of its node; it can be broken. */
+final class MemorySnapshots implements SnapshotStore {
+  private boolean frozen;
+  private final TreeMap<String, byte[]> files = new TreeMap<>();
+
+  @Override
+  public void write(String name, byte[] bytes) {
+    if (!frozen) {
+      files.put(name, bytes);
+    }
+  }
+
+  @Override
+  public List<String> names() {
+    return new ArrayList<>(files.descendingKeySet());
+  }
+
+  @Override
+  public byte[] read(String name) throws IOException {
+    byte[] bytes = files.get(name);
+    if (bytes == null) {
+      throw new IOException("no file " + name);
+    }
+    return bytes;
+  }
+
+  @Override
+  public void delete(String name) {
+    files.remove(name);
+  }
+
+  /** What is written from now on is lost. */
+  void freeze() {
+    frozen = true;
+  }
+
+  /** Loses all files. */
+  void wipe() {
+    files.clear();
+  }
+
+  /** The newest file loses its second half. */
+  void tearNewest() {
+    byte[] whole = files.lastEntry().getValue();
+    files.put(files.lastKey(), Arrays.copyOf(whole, whole.length / 2));
+  }
+}
--- a/src/test/java/io/cherryspool/sim/Playground.java
+++ b/src/test/java/io/cherryspool/sim/Playground.java
@@ -1,6 +1,5 @@
 package io.cherryspool.sim;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import io.cherryspool.http.Endpoint;
 import io.cherryspool.http.NettyClient;
 import io.cherryspool.http.NettyLoop;
@@ -8,10 +7,12 @@
 import io.cherryspool.model.Job;
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Resources;
-import io.cherryspool.store.Records;
 import io.cherryspool.wire.JobWire;
 import io.cherryspool.wire.WireException;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -47,6 +48,7 @@
   private final NettyClient client = new NettyClient(loop, SOCKETS);
   private final LoopbackNodes nodes =
       new LoopbackNodes(
+          ZONES.size(),
           "127.0.0.",
           8080,
           STATE,
@@ -55,6 +57,7 @@
           LEASE,
           new LoopbackNodes.Limits(150, 60, 1000, 128));
   private final Map<String, StandInWorker> workers = new HashMap<>();
+  private final Map<String, Job> descriptions = new HashMap<>();
 
   /** Takes the folder for the settings, and runs until it is stopped. */
   public static void main(String[] args) throws Exception {
@@ -66,6 +69,7 @@
   }
 
   private void run(Path folder) throws IOException, InterruptedException {
+    state.listen(this::describe);
     new NettyServer(loop, state, SOCKETS).bind(STATE);
     new NettyServer(loop, cloud, SOCKETS).bind(CLOUD);
     loop.execute(() -> ZONES.forEach(zone -> cloud.add("box", zone, false, REPORT)));
@@ -74,9 +78,22 @@
       Path file = nodes.write(folder, i);
       System.out.println("settings of " + LoopbackNodes.name(i) + ": " + file);
     }
+    System.out.println("a line with \"lose\" makes the state service lose its data");
+    readCommands();
     loop.join();
   }
 
+  private void readCommands() throws IOException {
+    BufferedReader in =
+        new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+    for (String line = in.readLine(); line != null; line = in.readLine()) {
+      if (line.strip().equals("lose")) {
+        loop.execute(state::loseAll);
+        System.out.println("the state service has lost its data");
+      }
+    }
+  }
+
   private void boot(StandInCloud.Machine machine) {
     StandInWorker worker =
         new StandInWorker(
@@ -85,7 +102,7 @@
             client,
             machine,
             nodes.addresses(),
-            this::described,
+            descriptions::get,
             REPORT,
             LEASE,
             0,
@@ -111,13 +128,18 @@
     }
   }
 
-  /** A worker fetches a job's description by itself; here it is where the service keeps it. */
-  private Job described(String id) {
-    JsonNode record = state.peek(Records.job(id));
-    try {
-      return record == null ? null : JobWire.parse(record.path("job"), Instant.now());
-    } catch (WireException e) {
-      return null;
+  /**
+   * Users upload what a job's tasks are to run; here it is what they told the service. It outlives
+   * the state service's data.
+   */
+  private void describe(String key) {
+    if (key.contains("/jobs/")) {
+      try {
+        Job job = JobWire.parse(state.peek(key).path("job"), Instant.now());
+        descriptions.put(job.id(), job);
+      } catch (WireException e) {
+        System.err.println("the job of " + key + " can't be read: " + e.getMessage());
+      }
     }
   }
 }
--- a/src/test/java/io/cherryspool/sim/RuleChecker.java
+++ b/src/test/java/io/cherryspool/sim/RuleChecker.java
@@ -158,6 +158,10 @@
     return accepted.putIfAbsent(id, time.now()) == null;
   }
 
+  boolean isAccepted(String id) {
+    return accepted.containsKey(id);
+  }
+
   void refused(String id, int status) {
     broken(accepted.containsKey(id) && (status == 400 || status == 422), "forgotten", id);
   }
--- a/src/test/java/io/cherryspool/sim/Simulation.java
+++ b/src/test/java/io/cherryspool/sim/Simulation.java
@@ -17,7 +17,11 @@
   private double arrivalEnd;
 
   Simulation(long seed) {
-    cluster = Cluster.random(seed);
+    this(Cluster.random(seed));
+  }
+
+  Simulation(Cluster cluster) {
+    this.cluster = cluster;
     random = cluster.random().split();
   }
 
@@ -27,11 +31,20 @@
 
   /** Plays a day: troubles for a while, then quiet until everything has to be over. */
   void play(double troubles, double quiet) {
+    play(troubles, quiet, new FaultInjector(cluster, troubles - 30, this::visit)::begin);
+  }
+
+  /** Plays a day on which the state service loses its data again and again. */
+  void playWithLosses(double troubles, double quiet) {
+    play(troubles, quiet, new LossInjector(cluster, troubles - 30)::begin);
+  }
+
+  private void play(double troubles, double quiet, Runnable faults) {
     arrivalEnd = troubles;
     cluster.net().copyReports(true);
     cluster.after(troubles, () -> cluster.net().copyReports(false));
     cluster.after(1, this::arrive);
-    new FaultInjector(cluster, troubles - 30, this::visit).begin();
+    faults.run();
     cluster.run(troubles + Cluster.CANCEL.toSeconds());
     // The last of the troubles is over; from here on nothing excuses silence or idle room.
     cluster.rules().quietFrom(cluster.time().now());
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/SnapshotRecoveryTest.java
@@ -0,0 +1,179 @@
+package io.cherryspool.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cherryspool.config.RecoverySettings;
+import io.cherryspool.model.Job;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * The state service loses its data, and all controllers end with it: what is left is the snapshots
+ * on their disks and what the workers run.
+ */
+class SnapshotRecoveryTest extends CombinedFaultsFixture {
+  private static final Duration EVERY = Duration.ofSeconds(5);
+
+  private void begin(long seed, Set<String> heldClasses) {
+    cluster =
+        Cluster.recovering(
+            seed,
+            3,
+            new RecoverySettings(
+                Duration.ofMillis(1500), Optional.of(Path.of("disk")), EVERY, heldClasses));
+    cluster.run(25);
+  }
+
+  /** All processes end and the data is gone; the processes are back within a few seconds. */
+  private void loseEverything(long seed) {
+    cluster.state().loseAll();
+    for (ControllerNode node : cluster.nodes()) {
+      node.crash(Duration.ofMillis(300 + 900 * (seed % 4)));
+    }
+  }
+
+  /** Jobs that a snapshot saw: done, running, waiting. */
+  private List<Job> seenBySnapshots() {
+    List<Job> jobs = new ArrayList<>();
+    jobs.add(submit("red", 3, 2, Duration.ofSeconds(2)));
+    jobs.add(submit("blue", 20, 4, Duration.ofSeconds(25)));
+    cluster.run(14);
+    assertTrue(cluster.rules().ended(jobs.get(0).id()), "one is done");
+    return jobs;
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void jobsThatASnapshotSawAreServed(long seed) {
+    begin(seed, Set.of());
+    List<Job> jobs = seenBySnapshots();
+    loseEverything(seed);
+    cluster.run(110);
+    allEnd(jobs);
+    assertEquals(0, cluster.leasesLost(), "what ran went on running");
+  }
+
+  /** Tasks begin and end after the newest snapshot; what runs is adopted, what is done counts. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void theSnapshotIsOlderThanTheNewestWork(long seed) {
+    begin(seed, Set.of());
+    List<Job> jobs = seenBySnapshots();
+    for (ControllerNode node : cluster.nodes()) {
+      node.disk().freeze();
+    }
+    cluster.run(6 + seed);
+    Job late = submit("guest", 5, 0.5, Duration.ofSeconds(60));
+    cluster.run(5);
+    int running = cluster.runningTasks(late);
+    assertTrue(running > 0, "its tasks run");
+    loseEverything(seed);
+    cluster.run(25);
+    assertTrue(cluster.runningTasks(late) >= running, "tasks of an unknown job run on");
+    assertFalse(cluster.rules().ended(late.id()));
+    cluster.users().repeat(late);
+    jobs.add(late);
+    cluster.run(120);
+    allEnd(jobs);
+  }
+
+  /** The newest snapshot is torn; the one before it is used. */
+  @Test
+  void aTornSnapshotIsPassedOver() {
+    begin(1, Set.of());
+    List<Job> jobs = seenBySnapshots();
+    for (ControllerNode node : cluster.nodes()) {
+      node.disk().freeze();
+      node.disk().tearNewest();
+    }
+    loseEverything(1);
+    cluster.run(110);
+    allEnd(jobs);
+  }
+
+  /** Only one node has its disk back; it is waited for, since it remembers most. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void oneDiskIsEnough(long seed) {
+    begin(seed, Set.of());
+    List<Job> jobs = seenBySnapshots();
+    loseEverything(seed);
+    for (int i = 0; i < cluster.nodes().size(); i++) {
+      if (i != seed % 3) {
+        cluster.nodes().get(i).disk().wipe();
+      }
+    }
+    cluster.run(110);
+    allEnd(jobs);
+  }
+
+  /** A class whose tasks an operator wants to be asked about is not run again unasked. */
+  @Test
+  void heldClassesWaitForAnOperator() {
+    begin(1, Set.of("lane"));
+    Job job = submit("blue", 6, 4, Duration.ofSeconds(30));
+    cluster.run(12);
+    assertEquals(6, cluster.runningTasks(job));
+    for (ControllerNode node : cluster.nodes()) {
+      node.disk().freeze();
+    }
+    // One machine dies with what it runs; whether that had ended, no report will tell.
+    cluster.killBusiestMachine();
+    cluster.run(0.2);
+    int left = cluster.runningTasks(job);
+    assertTrue(left < 6, "some of them are gone");
+    loseEverything(1);
+    cluster.run(70);
+    assertTrue(cluster.state().holds("/held/" + job.id()), "the job is held");
+    assertFalse(cluster.rules().ended(job.id()), "nothing of it was run again");
+    assertEquals(
+        409, cluster.operator("resolve", "{\"job\":\"req-999998\",\"decision\":\"repeat\"}"));
+    String decision = "{\"job\":\"" + job.id() + "\",\"decision\":\"repeat\"}";
+    assertEquals(200, cluster.operator("resolve", decision));
+    assertEquals(409, cluster.operator("resolve", decision), "it is not held any more");
+    cluster.run(70);
+    assertTrue(cluster.rules().ended(job.id()), "it was run again once that was decided");
+  }
+
+  /** Nothing remembers anything but the workers: what they run is left alone, and no job begins. */
+  @Test
+  void withoutSnapshotsWhatRunsIsKeptUntilItsUsersComeAgain() {
+    begin(1, Set.of());
+    Job job = submit("blue", 6, 4, Duration.ofSeconds(60));
+    cluster.run(12);
+    assertEquals(6, cluster.runningTasks(job));
+    loseEverything(0);
+    cluster.nodes().forEach(node -> node.disk().wipe());
+    cluster.run(40);
+    assertEquals(6, cluster.runningTasks(job), "it runs on");
+    cluster.users().repeat(job);
+    cluster.run(80);
+    assertTrue(cluster.rules().ended(job.id()));
+  }
+
+  @Test
+  void anUnknownJobCanBeAbandoned() {
+    begin(1, Set.of());
+    Job job = submit("blue", 6, 4, Duration.ofSeconds(200));
+    cluster.run(12);
+    loseEverything(0);
+    cluster.nodes().forEach(node -> node.disk().wipe());
+    cluster.run(40);
+    String repeat = "{\"job\":\"" + job.id() + "\",\"decision\":\"repeat\"}";
+    assertEquals(409, cluster.operator("resolve", repeat), "nobody has described it");
+    String abandon = "{\"job\":\"" + job.id() + "\",\"decision\":\"abandon\"}";
+    cluster.users().forget(job.id());
+    assertEquals(200, cluster.operator("resolve", abandon));
+    cluster.run(8);
+    assertEquals(0, cluster.runningTasks(job), "its tasks are stopped");
+  }
+}
--- a/src/test/java/io/cherryspool/sim/StandInState.java
+++ b/src/test/java/io/cherryspool/sim/StandInState.java
@@ -40,6 +40,8 @@
   private long revision;
   private long leaseCount;
   private boolean down;
+  private long requests;
+  private long changes;
 
   private double writeRate = Double.POSITIVE_INFINITY;
   private double writes;
@@ -78,21 +80,21 @@
   }
 
   /** All that the service holds now, to be set back to later. */
-  Saved save() {
+  public Saved save() {
     Map<Long, Long> ttls = new HashMap<>();
     leases.forEach((id, lease) -> ttls.put(id, lease.ttlMs));
     return new Saved(new TreeMap<>(keys), ttls, List.copyOf(history), revision);
   }
 
   /** What the service held at a moment. */
-  record Saved(
+  public record Saved(
       TreeMap<String, Item> keys,
       Map<Long, Long> leases,
       List<ObjectNode> history,
       long revision) {}
 
   /** Is again as it was, with the leases of then, which have their full time. */
-  void loseTo(Saved saved) {
+  public void loseTo(Saved saved) {
     keys.clear();
     keys.putAll(saved.keys);
     history.clear();
@@ -171,7 +173,18 @@
     return late;
   }
 
+  /** How many requests were made. */
+  long requests() {
+    return requests;
+  }
+
+  /** How many puts and deletes were carried out. */
+  long changes() {
+    return changes;
+  }
+
   private CompletableFuture<Reply> carryOut(Request request) {
+    requests++;
     if (down) {
       return done(503, Json.object().put("error", "trouble"));
     }
@@ -256,6 +269,7 @@
       return done(409, answer);
     }
     revision++;
+    changes += body.path("apply").size();
     for (JsonNode change : body.path("apply")) {
       if (change.has("delete")) {
         remove(change.path("delete").asText());
--- a/src/test/java/io/cherryspool/sim/StandInWorker.java
+++ b/src/test/java/io/cherryspool/sim/StandInWorker.java
@@ -358,6 +358,16 @@
     }
   }
 
+  /** One of its running tasks completes now. */
+  void finishOne() {
+    for (Map.Entry<String, Piece> entry : pieces.entrySet()) {
+      if (entry.getValue().status.equals("running")) {
+        finish(entry.getKey(), entry.getValue(), false);
+        return;
+      }
+    }
+  }
+
   private void halt(Piece piece, double grace) {
     Job job = jobs.apply(TaskId.parse(piece.task).job());
     if (piece.cause != null) {
--- a/src/test/java/io/cherryspool/sim/Users.java
+++ b/src/test/java/io/cherryspool/sim/Users.java
@@ -10,7 +10,9 @@
 import io.cherryspool.wire.Json;
 import io.cherryspool.wire.WireException;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -28,6 +30,7 @@
   private int storm = 1;
   private boolean lookClosely;
   private double cancelAtEnd;
+  private final Set<String> forgotten = new HashSet<>();
 
   Users(
       VirtualTime time,
@@ -123,7 +126,15 @@
         });
   }
 
+  /** Asks no more about a job, as its operator has told the user to. */
+  void forget(String id) {
+    forgotten.add(id);
+  }
+
   private void poll(String id) {
+    if (forgotten.contains(id)) {
+      return;
+    }
     ask(id, anyNode());
     after(rules.ended(id) ? 40 : 5.0 / storm, () -> poll(id));
   }
--- /dev/null
+++ b/src/test/java/io/cherryspool/store/PictureFixture.java
@@ -0,0 +1,132 @@
+package io.cherryspool.store;
+
+import io.cherryspool.model.Attempt;
+import io.cherryspool.model.Job;
+import io.cherryspool.model.JobFixture;
+import io.cherryspool.model.Outcome;
+import io.cherryspool.model.Priority;
+import io.cherryspool.model.Shard;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.pcollections.PSortedMap;
+import org.pcollections.TreePMap;
+
+/** Pictures as nodes may remember them. */
+public final class PictureFixture {
+  private static final int TASKS_PER_SHARD = 8;
+  private static final int MACHINES = 6;
+
+  private PictureFixture() {}
+
+  /** A cluster's history of so many steps; a picture is what it was after each of them. */
+  public static List<Picture> history(long seed, int steps) {
+    SplittableRandom random = new SplittableRandom(seed);
+    List<Picture> history = new ArrayList<>();
+    PMap<String, Picture.PictureJob> jobs = HashTreePMap.empty();
+    for (int i = 0; i < 3; i++) {
+      Job job = JobFixture.job(id(i), Priority.NORMAL, 3 + random.nextInt(20), 1);
+      jobs = jobs.plus(job.id(), Picture.PictureJob.accepted(job, TASKS_PER_SHARD));
+    }
+    for (int step = 1; step <= steps; step++) {
+      jobs = step(jobs, random, step);
+      history.add(
+          new Picture("cluster", "", new Incarnation.Origin(0, step), 1 + step / 10, null, jobs));
+    }
+    return history;
+  }
+
+  private static String id(int number) {
+    return String.format("req-%06d", number + 1);
+  }
+
+  private static PMap<String, Picture.PictureJob> step(
+      PMap<String, Picture.PictureJob> jobs, SplittableRandom random, int step) {
+    if (random.nextInt(6) == 0) {
+      Job job = JobFixture.job(id(jobs.size()), Priority.NORMAL, 1 + random.nextInt(30), 1);
+      return jobs.plus(job.id(), Picture.PictureJob.accepted(job, TASKS_PER_SHARD));
+    }
+    String id = id(random.nextInt(jobs.size()));
+    Picture.PictureJob job = jobs.get(id);
+    if (job.outcome() != null) {
+      return jobs;
+    }
+    if (random.nextInt(12) == 0) {
+      return jobs.plus(id, job.withOutcome(Outcome.CANCELLED));
+    }
+    int task = random.nextInt(job.job().tasks());
+    int index = task / TASKS_PER_SHARD;
+    Shard shard = job.shards().getOrDefault(index, Shard.EMPTY);
+    Picture.PictureJob next = job.withShard(index, moved(shard, task, random, step));
+    return jobs.plus(id, isDone(next) ? next.withOutcome(Outcome.DONE) : next);
+  }
+
+  /** One of the moves that records allow. */
+  private static Shard moved(Shard shard, int task, SplittableRandom random, long token) {
+    if (shard.isDone(task)) {
+      return shard;
+    }
+    if (shard.owner(task) == null) {
+      String machine = "host-" + random.nextInt(MACHINES);
+      return shard.edit().assign(task, machine, 1 + random.nextInt(2), token).build();
+    }
+    return random.nextBoolean()
+        ? shard.edit().complete(task).build()
+        : shard.edit().release(task, random.nextBoolean()).build();
+  }
+
+  private static boolean isDone(Picture.PictureJob job) {
+    return job.shards().values().stream().mapToInt(Shard::doneCount).sum() == job.job().tasks();
+  }
+
+  /** A job of so many tasks, all of them owned: the largest records that there are. */
+  public static Picture.PictureJob running(Job job, int tasksPerShard) {
+    PSortedMap<Integer, Shard> shards = TreePMap.empty();
+    for (int first = 0; first < job.tasks(); first += tasksPerShard) {
+      Shard.Editor editor = Shard.EMPTY.edit();
+      for (int task = first; task < Math.min(job.tasks(), first + tasksPerShard); task++) {
+        editor.adopt(new Attempt(task, "host-" + (100_000 + task % 4000), 1, 1, 1L << 33));
+      }
+      shards = shards.plus(first / tasksPerShard, editor.build());
+    }
+    return new Picture.PictureJob(job, tasksPerShard, null, shards);
+  }
+
+  /** The jobs as text, for comparing. */
+  public static String text(Picture picture) {
+    StringBuilder text = new StringBuilder();
+    picture.jobs().keySet().stream()
+        .sorted()
+        .forEach(
+            id -> {
+              Picture.PictureJob job = picture.jobs().get(id);
+              text.append(id).append(' ').append(job.outcome()).append('\n');
+              job.shards()
+                  .forEach(
+                      (index, shard) ->
+                          text.append(index).append(' ').append(sorted(shard)).append('\n'));
+            });
+    return text.toString();
+  }
+
+  private static String sorted(Shard shard) {
+    StringBuilder text = new StringBuilder();
+    for (int task = shard.nextDone(0); task >= 0; task = shard.nextDone(task + 1)) {
+      text.append(task).append(" done ");
+    }
+    shard
+        .histories()
+        .keySet()
+        .intStream()
+        .sorted()
+        .forEach(
+            task ->
+                text.append(task)
+                    .append(' ')
+                    .append(shard.history(task))
+                    .append(shard.owner(task)));
+    return text.toString();
+  }
+}
