Take a second loss for what it is while the first one still leaves something open

Cause: found by rereading: a leader of records that were rebuilt from part of the memory, or that note unknown or held jobs, does not know of every start, and what is noted is not part of a picture. After another loss its rebuild counted as complete: tasks of unknown jobs were stopped and their users told 404.

Change: such a leader's rebuild is never complete, so that the next one takes in again what workers report. A starting node does not enter an incarnation that another node holds.

--- a/src/main/java/io/cherryspool/recovery/Recovery.java
+++ b/src/main/java/io/cherryspool/recovery/Recovery.java
@@ -178,7 +178,8 @@
     }
     events.lost(loss);
     LOG.warn("the state service has lost data ({}): {}; holding until it is rebuilt", loss, detail);
-    ledSurely = node.leadsSurely() && !loss.showsAnotherLeader();
+    // One that leads what was rebuilt from part of it does not know of every start either.
+    ledSurely = node.leadsSurely() && !loss.showsAnotherLeader() && replica.nothingLeftOpen();
     lost = present;
     remember();
     hold();
@@ -299,7 +300,7 @@
     boolean older = record.number() < memory.origin().number();
     boolean same = lost != null && sameBuild(record, lost);
     if (record.phase() == Incarnation.Phase.SERVING && !older && !same) {
-      if (heardEnough()) {
+      if (heardEnough() && !heldByOthers(record)) {
         replica.enter(record, found.version(), revision);
       }
       return;
@@ -317,6 +318,17 @@
     return one.number() == other.number() && one.nonce().equals(other.nonce());
   }
 
+  /** Whether another node knows that this incarnation's records are not to be relied on. */
+  private boolean heldByOthers(Incarnation record) {
+    return node.peers().stream()
+        .map(Peer::memory)
+        .anyMatch(
+            known ->
+                known.isOf(record)
+                    && (known.phase() == NodeMemory.Phase.HOLDING
+                        || known.phase() == NodeMemory.Phase.REBUILDING));
+  }
+
   /** A starting node listens to the others first: they may know that the records are too old. */
   private boolean heardEnough() {
     return phase == NodeMemory.Phase.HOLDING
--- a/src/main/java/io/cherryspool/store/Replica.java
+++ b/src/main/java/io/cherryspool/store/Replica.java
@@ -220,6 +220,17 @@
     return incarnation != null && !incarnation.complete();
   }
 
+  /**
+   * Whether the records hold every start and nothing waits for users or operators since an earlier
+   * loss. What waits is not part of a picture; after another loss it is found again by reports.
+   */
+  public boolean nothingLeftOpen() {
+    return settled()
+        && index.unknown().isEmpty()
+        && index.abandoned().isEmpty()
+        && index.held().isEmpty();
+  }
+
   /** Whether workers report this job, which nobody has described since the state was lost. */
   public boolean unknownAtWorkers(String id) {
     return index.unknown().contains(id);
--- a/src/test/java/io/cherryspool/sim/LostStateDaysTest.java
+++ b/src/test/java/io/cherryspool/sim/LostStateDaysTest.java
@@ -1,5 +1,7 @@
 package io.cherryspool.sim;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -10,4 +12,13 @@
   void theRulesHoldAndEverythingEnds(long seed) {
     new Simulation(Cluster.recovering(seed, 3 + (int) seed % 3)).playWithLosses(240, 240);
   }
+
+  /** On days of every other fault nothing is taken for a loss. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void noOtherFaultIsTakenForALoss(long seed) {
+    Cluster cluster = Cluster.recovering(seed, 3 + (int) seed % 3);
+    new Simulation(cluster).play(240, 240);
+    assertEquals(0, cluster.state().peek("c/incarnation").path("number").intValue());
+  }
 }
