Let one piece serve where the recovery wrote things twice

- Paging through all keys stood in ReplicaLoader and Rebuilder: KeyScan.
Reading the identity record stood in Recovery and Rebuilder: StateClient.readIncarnation.
Where an incarnation keeps a key: Incarnation.physical.
The limits of a transaction stood in RoundWriter and Rebuilder: StateWire.
- Remains sorted keys and built pictures beside IncarnationRecords and PictureKeeper; it uses them now.
- What a report proves of a lost start is decided beside the other decisions (Reconciliation), and only for reports that say something new instead of for each.
A contribution no longer builds a whole picture to read a number.

--- a/src/main/java/io/cherryspool/controller/Adoption.java
+++ b/src/main/java/io/cherryspool/controller/Adoption.java
@@ -42,8 +42,9 @@
     this.heldClasses = heldClasses;
   }
 
+  /** A leader's term ends with the incarnation of its records, so that this does not change. */
   private boolean concerned() {
-    return replica != null && replica.rebuiltFromPart();
+    return this != NONE;
   }
 
   /** Whether tasks may run that the records have as free. */
--- a/src/main/java/io/cherryspool/controller/Controller.java
+++ b/src/main/java/io/cherryspool/controller/Controller.java
@@ -166,12 +166,8 @@
             limits.valueBytes(),
             limits.txnOps(),
             limits.writeRps() * REBUILD_WRITES),
-        given
-            .snapshots()
-            .map(
-                support ->
-                    new RecoveryPart.SnapshotPlan(
-                        support.store(), support.background(), wanted.snapshotInterval())));
+        given.snapshots(),
+        wanted.snapshotInterval());
   }
 
   @Override
--- a/src/main/java/io/cherryspool/controller/LeaderTerm.java
+++ b/src/main/java/io/cherryspool/controller/LeaderTerm.java
@@ -9,6 +9,7 @@
 import io.cherryspool.model.Report;
 import io.cherryspool.model.Team;
 import io.cherryspool.model.Token;
+import io.cherryspool.recovery.Reconciliation;
 import io.cherryspool.store.JobEntry;
 import io.cherryspool.store.Replica;
 import io.cherryspool.wire.WorkerWire;
@@ -309,11 +310,15 @@
       higherTerm.accept(Math.max(Token.term(report.token()), term + 1));
       return;
     }
-    if (startMissing.isPresent() && replica.settled() && lookForMissingStart(report)) {
-      return;
-    }
     MachineState known = fleet.get(report.machine());
     Report before = known == null ? null : known.latest;
+    // What a report repeats was looked at before; records only come to know more.
+    if (startMissing.isPresent()
+        && replica.settled()
+        && report.differsFrom(before)
+        && lookForMissingStart(report)) {
+      return;
+    }
     MachineStanding standing = rounds.standing(known);
     MachineState machine = fleet.accept(report, loop.now());
     if (machine == null || machine.latest != report) {
@@ -332,24 +337,12 @@
     }
   }
 
-  /**
-   * Starts are recorded before they are ordered, and this leader has read all that was recorded
-   * before its term. A worker that knows of a later one proves that records were lost.
-   */
+  /** This leader has read all that was recorded before its term, and ordered nothing else. */
   private boolean lookForMissingStart(Report report) {
     for (Report.TaskReport item : report.tasks()) {
-      JobEntry entry = replica.job(item.task().job());
-      int task = item.task().number();
-      boolean recorded =
-          replica.abandoned(item.task().job())
-              || replica.unknownAtWorkers(item.task().job())
-              || entry != null
-                  && (entry.outcome() != null
-                      || task >= entry.job().tasks()
-                      || entry.shard(entry.shardOf(task)).shard().isDone(task)
-                      || entry.shard(entry.shardOf(task)).shard().history(task).attempts()
-                          >= item.attempt());
-      if (!recorded) {
+      String job = item.task().job();
+      boolean noted = replica.abandoned(job) || replica.unknownAtWorkers(job);
+      if (!noted && !Reconciliation.knowsStart(replica.job(job), item)) {
         startMissing.get().accept(item.task() + " try " + item.attempt());
         return true;
       }
--- a/src/main/java/io/cherryspool/controller/RecoveryPart.java
+++ b/src/main/java/io/cherryspool/controller/RecoveryPart.java
@@ -11,7 +11,6 @@
 import io.cherryspool.recovery.Recovery;
 import io.cherryspool.recovery.RecoveryTimings;
 import io.cherryspool.recovery.Snapshot;
-import io.cherryspool.recovery.SnapshotStore;
 import io.cherryspool.recovery.SnapshotWriter;
 import io.cherryspool.recovery.Snapshots;
 import io.cherryspool.store.HistoryGuard;
@@ -25,7 +24,6 @@
 import java.time.Instant;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -51,14 +49,19 @@
       RandomGenerator random,
       Supplier<Instant> wall) {}
 
-  /** Where snapshots go, who writes them, and how often. */
-  record SnapshotPlan(SnapshotStore store, Executor background, Duration interval) {}
-
+  /**
+   * @param support where snapshots go, if they are taken
+   * @param interval how often they are
+   */
   RecoveryPart(
-      Shared shared, RecoveryNode node, RecoveryTimings timings, Optional<SnapshotPlan> plan) {
+      Shared shared,
+      RecoveryNode node,
+      RecoveryTimings timings,
+      Optional<Controller.SnapshotSupport> support,
+      Duration interval) {
     this.node = node;
     this.election = shared.election();
-    Optional<Snapshots> kept = plan.map(wanted -> new Snapshots(wanted.store()));
+    Optional<Snapshots> kept = support.map(given -> new Snapshots(given.store()));
     Picture newest = kept.flatMap(Snapshots::newest).map(Snapshot::picture).orElse(Picture.EMPTY);
     recovery =
         new Recovery(
@@ -71,16 +74,16 @@
             node,
             newest);
     snapshots =
-        plan.map(
-            wanted ->
+        support.map(
+            given ->
                 new SnapshotWriter(
                     shared.loop(),
                     shared.replica(),
                     recovery::serving,
                     shared.wall(),
                     kept.get(),
-                    wanted.background(),
-                    wanted.interval()));
+                    given.background(),
+                    interval));
     SnapshotWriter writer = snapshots.orElse(null);
     api =
         new RecoveryApi(
--- a/src/main/java/io/cherryspool/controller/RoundWriter.java
+++ b/src/main/java/io/cherryspool/controller/RoundWriter.java
@@ -21,8 +21,6 @@
  */
 final class RoundWriter {
   private static final Logger LOG = LoggerFactory.getLogger(RoundWriter.class);
-  private static final int MAX_BYTES = 56_000;
-  private static final int CHANGE_OVERHEAD = 300;
   private static final Duration AGAIN = Duration.ofMillis(300);
 
   /** On the term, and on the incarnation of the records. */
@@ -75,11 +73,11 @@
     int taken = 0;
     for (Unit unit : units) {
       int count = unit.changes.size();
-      int size = unit.bytes + CHANGE_OVERHEAD * count;
+      int size = unit.bytes + StateWire.CHANGE_OVERHEAD * count;
       boolean full =
           changes + count > maxChanges
               || conditions + unit.conditions.size() > CONDITIONS * maxChanges
-              || bytes + size > MAX_BYTES;
+              || bytes + size > StateWire.MAX_COMMIT_BYTES;
       if (full && !batch.isEmpty()) {
         rateLimiter.force(changes);
         batch = new ArrayList<>();
--- a/src/main/java/io/cherryspool/recovery/Contributions.java
+++ b/src/main/java/io/cherryspool/recovery/Contributions.java
@@ -123,13 +123,13 @@
       return;
     }
     List<StateWire.Change> known = new ArrayList<>(recent.all());
-    if (replica.picture().origin().number() == record.origin().number()) {
+    Incarnation remembered = client.space().incarnation();
+    if (remembered != null && remembered.number() == record.origin().number()) {
       known.addAll(replica.permanentSince(record.origin().revision()));
     }
     List<StateWire.Change> changes = new ArrayList<>();
     for (StateWire.Change change : known) {
-      String key = record.prefix() + change.key().substring(Records.PREFIX.length());
-      changes.add(new StateWire.Change(key, change.value(), 0));
+      changes.add(new StateWire.Change(record.physical(change.key()), change.value(), 0));
     }
     if (changes.isEmpty()) {
       contributed = record.number();
--- a/src/main/java/io/cherryspool/recovery/NodeMemory.java
+++ b/src/main/java/io/cherryspool/recovery/NodeMemory.java
@@ -15,10 +15,6 @@
 public record NodeMemory(
     Phase phase, String nonce, Incarnation.Origin origin, boolean led, long contributed) {
 
-  /** Of a node that does not take part. */
-  public static final NodeMemory NONE =
-      new NodeMemory(Phase.STARTING, "", Incarnation.Origin.NONE, false, 0);
-
   /** What a node does. */
   public enum Phase {
     /** It has not read the records yet. */
--- a/src/main/java/io/cherryspool/recovery/Rebuilder.java
+++ b/src/main/java/io/cherryspool/recovery/Rebuilder.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.cherryspool.lifecycle.EventLoop;
 import io.cherryspool.store.Incarnation;
+import io.cherryspool.store.KeyScan;
 import io.cherryspool.store.Picture;
 import io.cherryspool.store.PictureCodec;
 import io.cherryspool.store.RateLimiter;
@@ -29,11 +30,6 @@
   private static final Logger LOG = LoggerFactory.getLogger(Rebuilder.class);
   private static final Duration RETRY = Duration.ofMillis(300);
 
-  /** All values of a transaction together; the service takes 64 KiB, keys and conditions too. */
-  private static final int MAX_BYTES = 56_000;
-
-  private static final int CHANGE_OVERHEAD = 300;
-
   private final EventLoop loop;
   private final StateClient client;
   private final RateLimiter rateLimiter;
@@ -48,6 +44,7 @@
   private boolean complete;
   private List<byte[]> chunks = List.of();
   private Duration contributionsUntil;
+  private KeyScan scan;
   private boolean stopped;
 
   /**
@@ -60,7 +57,6 @@
    * @param memory what this node remembers
    * @param recent what it has told users of, that is not in its memory yet
    * @param term the highest term heard of
-   * @param ledSurely whether this node led without a doubt when the loss was seen
    */
   record Plan(
       Incarnation record,
@@ -69,8 +65,7 @@
       Incarnation interrupted,
       Picture memory,
       List<StateWire.Change> recent,
-      long term,
-      boolean ledSurely) {}
+      long term) {}
 
   /**
    * @param contributed whether all other nodes have added what they know
@@ -103,6 +98,9 @@
 
   void stop() {
     stopped = true;
+    if (scan != null) {
+      scan.cancel();
+    }
   }
 
   void start() {
@@ -145,22 +143,18 @@
     }
     rateLimiter.force(0);
     client
-        .list(Incarnation.KEY, null)
+        .readIncarnation()
         .whenComplete(
-            (page, failure) -> {
+            (reading, failure) -> {
               if (stopped) {
                 return;
               }
               if (failure != null) {
                 loop.schedule(RETRY, () -> lookForRecord(replaces, next));
-                return;
-              }
-              StateWire.Event found = page.items().isEmpty() ? null : page.items().get(0);
-              long present = found == null ? 0 : found.version();
-              if (found != null && Incarnation.decode(found.value()).equals(record)) {
-                version = present;
+              } else if (record.equals(reading.incarnation())) {
+                version = reading.version();
                 next.run();
-              } else if (present == replaces) {
+              } else if (reading.version() == replaces) {
                 replaceRecord(replaces, next);
               } else {
                 end(false, "another node has begun");
@@ -169,35 +163,11 @@
   }
 
   private void readRemains() {
-    readRemains(null, new ArrayList<>());
-  }
-
-  private void readRemains(String after, List<StateWire.Event> found) {
-    if (stopped) {
-      return;
-    }
-    rateLimiter.force(0);
-    client
-        .list(Records.PREFIX, after)
-        .whenComplete(
-            (page, failure) -> {
-              if (stopped) {
-                return;
-              }
-              if (failure != null) {
-                loop.schedule(RETRY, () -> readRemains(after, found));
-                return;
-              }
-              found.addAll(page.items());
-              if (page.more() && !page.items().isEmpty()) {
-                readRemains(page.items().get(page.items().size() - 1).key(), found);
-              } else {
-                write(found);
-              }
-            });
+    scan = new KeyScan(loop, client, rateLimiter, Records.PREFIX, all -> writePicture(all.found()));
+    scan.start();
   }
 
-  private void write(List<StateWire.Event> left) {
+  private void writePicture(List<StateWire.Event> left) {
     Picture known = plan.memory();
     boolean added = false;
     for (Incarnation earlier : new Incarnation[] {plan.lost(), plan.interrupted()}) {
@@ -208,7 +178,7 @@
         known = merged;
       }
     }
-    complete = plan.ledSurely() && !added;
+    complete = record.complete() && !added;
     picture = withRecent(known, plan.recent()).withTerm(plan.term());
     chunks = PictureCodec.encode(picture.jobs(), Records.chunkBytes(timings.valueBytes()));
     LOG.info(
@@ -236,8 +206,8 @@
     int bytes = 0;
     int next = from;
     while (next < chunks.size() && changes.size() < timings.maxChanges()) {
-      int size = chunks.get(next).length * 4 / 3 + CHANGE_OVERHEAD;
-      if (bytes + size > MAX_BYTES && !changes.isEmpty()) {
+      int size = chunks.get(next).length * 4 / 3 + StateWire.CHANGE_OVERHEAD;
+      if (bytes + size > StateWire.MAX_COMMIT_BYTES && !changes.isEmpty()) {
         break;
       }
       changes.add(change(Records.bundle(next), Records.bundle(chunks.get(next))));
@@ -267,7 +237,7 @@
   }
 
   private StateWire.Change change(String key, JsonNode value) {
-    return new StateWire.Change(record.prefix() + key.substring(Records.PREFIX.length()), value, 0);
+    return new StateWire.Change(record.physical(key), value, 0);
   }
 
   private void commit(List<StateWire.Change> changes, Runnable next) {
--- a/src/main/java/io/cherryspool/recovery/Reconciliation.java
+++ b/src/main/java/io/cherryspool/recovery/Reconciliation.java
@@ -26,6 +26,24 @@
     DISCARD
   }
 
+  /**
+   * Whether the records know of the reported attempt or of something later. Starts are recorded
+   * before they are ordered, so that one which they don't know of proves that records were lost.
+   *
+   * @param entry the task's job, null if it is not known
+   */
+  public static boolean knowsStart(JobEntry entry, Report.TaskReport item) {
+    if (entry == null) {
+      return false;
+    }
+    int task = item.task().number();
+    if (entry.outcome() != null || task >= entry.job().tasks()) {
+      return true;
+    }
+    Shard shard = entry.shard(entry.shardOf(task)).shard();
+    return shard.isDone(task) || shard.history(task).attempts() >= item.attempt();
+  }
+
   /**
    * @param entry the task's job, null if it is not known
    * @param ownerReports whether the machine that the records give the task to reports it as well
--- a/src/main/java/io/cherryspool/recovery/Recovery.java
+++ b/src/main/java/io/cherryspool/recovery/Recovery.java
@@ -269,24 +269,23 @@
     Duration sent = loop.now();
     rateLimiter.force(0);
     client
-        .list(Incarnation.KEY, null)
+        .readIncarnation()
         .whenComplete(
-            (page, failure) -> {
+            (found, failure) -> {
               reading = false;
               lastAnswer = failure == null ? sent : lastAnswer;
               if (failure == null && !serving() && phase != NodeMemory.Phase.REBUILDING) {
-                StateWire.Event found = page.items().isEmpty() ? null : page.items().get(0);
-                decide(found, page.revision());
+                decide(found);
               }
             });
   }
 
-  private void decide(StateWire.Event found, long revision) {
-    if (found == null) {
+  private void decide(StateClient.IncarnationReading found) {
+    Incarnation record = found.incarnation();
+    if (record == null) {
       decideWithoutRecord();
       return;
     }
-    Incarnation record = Incarnation.decode(found.value());
     if (!memory.cluster().isEmpty() && !memory.cluster().equals(record.cluster())) {
       if (!events.foreign()) {
         LOG.error(
@@ -301,7 +300,7 @@
     boolean same = lost != null && sameBuild(record, lost);
     if (record.phase() == Incarnation.Phase.SERVING && !older && !same) {
       if (heardEnough() && !heldByOthers(record)) {
-        replica.enter(record, found.version(), revision);
+        replica.enter(record, found.version(), found.revision());
       }
       return;
     }
@@ -509,8 +508,7 @@
                 interrupted,
                 memory,
                 contributions.recent(),
-                Math.max(node.knownTerm(), memory.term()),
-                onlyLeader),
+                Math.max(node.knownTerm(), memory.term())),
             this::allContributed,
             this::rebuildEnded);
     rebuilder.start();
--- a/src/main/java/io/cherryspool/store/Incarnation.java
+++ b/src/main/java/io/cherryspool/store/Incarnation.java
@@ -81,6 +81,11 @@
     return number == 0 ? Records.PREFIX : Records.PREFIX + "@" + number + "-" + nonce + "/";
   }
 
+  /** The key under which the service keeps a record of this incarnation. */
+  public String physical(String key) {
+    return prefix() + key.substring(Records.PREFIX.length());
+  }
+
   public JsonNode encode() {
     return Json.object()
         .put("cluster", cluster)
--- a/src/main/java/io/cherryspool/store/IncarnationRecords.java
+++ b/src/main/java/io/cherryspool/store/IncarnationRecords.java
@@ -102,6 +102,19 @@
     return bundles.isEmpty() ? List.of() : PictureCodec.decode(chunks()).values();
   }
 
+  /** The chunks of the bundles up to the first that is missing or can't be read. */
+  List<byte[]> firstChunks() {
+    List<byte[]> chunks = new ArrayList<>();
+    for (int i = 0; bundles.containsKey(Records.bundle(i)); i++) {
+      try {
+        chunks.add(Records.readBundle(bundles.get(Records.bundle(i)).value()));
+      } catch (WireException e) {
+        break;
+      }
+    }
+    return chunks;
+  }
+
   private List<byte[]> chunks() throws WireException {
     List<byte[]> chunks = new ArrayList<>();
     for (StateWire.Event bundle : bundles.values()) {
--- a/src/main/java/io/cherryspool/store/Remains.java
+++ b/src/main/java/io/cherryspool/store/Remains.java
@@ -2,10 +2,8 @@
 
 import io.cherryspool.wire.StateWire;
 import io.cherryspool.wire.WireException;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
-import java.util.TreeMap;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 import org.slf4j.Logger;
@@ -24,33 +22,18 @@
   public static Picture read(Collection<StateWire.Event> physical, Incarnation incarnation) {
     KeySpace space = new KeySpace();
     space.enter(incarnation, 0);
-    List<StateWire.Event> records = new ArrayList<>();
-    TreeMap<String, StateWire.Event> bundles = new TreeMap<>();
-    for (StateWire.Event event : physical) {
-      String key = space.logical(event.key());
-      if (key == null || key.equals(Incarnation.KEY)) {
-        continue;
-      }
-      StateWire.Event logical = new StateWire.Event(key, event.value(), event.version());
-      if (key.startsWith(Records.BUNDLES)) {
-        bundles.put(key, logical);
-      } else {
-        records.add(logical);
-      }
-    }
+    IncarnationRecords left = IncarnationRecords.of(physical, space);
     RecordIndex index = new RecordIndex(space);
-    index.replaceAll(jobs(bundles).values(), records);
-    PMap<String, Picture.PictureJob> jobs = HashTreePMap.empty();
-    for (JobEntry entry : index.jobs()) {
-      jobs = jobs.plus(entry.job().id(), Picture.PictureJob.of(entry));
-    }
+    PictureKeeper keeper = new PictureKeeper(index);
+    index.watch(keeper);
+    index.replaceAll(jobs(left.firstChunks()).values(), left.records());
     return new Picture(
         incarnation.cluster(),
         incarnation.nonce(),
         Incarnation.Origin.NONE,
         index.term(),
         index.catalogRecord(),
-        jobs);
+        keeper.jobs());
   }
 
   /** The picture with a job or an end that was written on its own, unless it is known already. */
@@ -79,15 +62,7 @@
     }
   }
 
-  private static PMap<String, Picture.PictureJob> jobs(TreeMap<String, StateWire.Event> bundles) {
-    List<byte[]> chunks = new ArrayList<>();
-    for (int i = 0; bundles.containsKey(Records.bundle(i)); i++) {
-      try {
-        chunks.add(Records.readBundle(bundles.get(Records.bundle(i)).value()));
-      } catch (WireException e) {
-        break;
-      }
-    }
+  private static PMap<String, Picture.PictureJob> jobs(List<byte[]> chunks) {
     try {
       return PictureCodec.decode(chunks);
     } catch (WireException e) {
--- a/src/main/java/io/cherryspool/store/ReplicaLoader.java
+++ b/src/main/java/io/cherryspool/store/ReplicaLoader.java
@@ -23,6 +23,7 @@
   private final long since;
   private final Consumer<Loaded> done;
   private final Map<String, StateWire.Event> found = new HashMap<>();
+  private KeyScan scan;
   private boolean cancelled;
 
   /**
@@ -52,35 +53,22 @@
   }
 
   void start() {
+    if (cancelled) {
+      return;
+    }
     found.clear();
-    loadPage(null, since);
+    scan = new KeyScan(loop, client, rateLimiter, client.space().prefix(), this::scanned);
+    scan.start();
   }
 
   void cancel() {
     cancelled = true;
+    scan.cancel();
   }
 
-  private void loadPage(String after, long from) {
-    if (cancelled) {
-      return;
-    }
-    rateLimiter.force(0);
-    client
-        .list(client.space().prefix(), after)
-        .whenComplete(
-            (page, failure) -> {
-              if (failure != null) {
-                loop.schedule(RETRY, () -> loadPage(after, from));
-                return;
-              }
-              long start = from < 0 ? page.revision() : from;
-              page.items().forEach(item -> found.put(item.key(), item));
-              if (page.more() && !page.items().isEmpty()) {
-                loadPage(page.items().get(page.items().size() - 1).key(), start);
-              } else {
-                catchUp(start);
-              }
-            });
+  private void scanned(KeyScan.Scanned all) {
+    all.found().forEach(item -> found.put(item.key(), item));
+    catchUp(since < 0 ? all.firstRevision() : since);
   }
 
   private void catchUp(long from) {
--- a/src/main/java/io/cherryspool/store/StateClient.java
+++ b/src/main/java/io/cherryspool/store/StateClient.java
@@ -186,6 +186,23 @@
         .thenApply(page -> known(page, before, floor, page.revision()));
   }
 
+  /** The identity record as it was read, with the revision of the reading. */
+  public record IncarnationReading(Incarnation incarnation, long version, long revision) {}
+
+  /** Reads the identity record; a null incarnation of version 0 where there is none. */
+  public CompletableFuture<IncarnationReading> readIncarnation() {
+    return list(Incarnation.KEY, null)
+        .thenApply(
+            page -> {
+              if (page.items().isEmpty()) {
+                return new IncarnationReading(null, 0, page.revision());
+              }
+              StateWire.Event found = page.items().get(0);
+              Incarnation incarnation = Incarnation.decode(found.value());
+              return new IncarnationReading(incarnation, found.version(), page.revision());
+            });
+  }
+
   private <T> T known(T answer, Incarnation before, long floor, long revision) {
     if (space.incarnation() != before || !guard.accepts(floor, revision)) {
       throw overtaken();
--- a/src/main/java/io/cherryspool/wire/StateWire.java
+++ b/src/main/java/io/cherryspool/wire/StateWire.java
@@ -15,6 +15,15 @@
 
 /** The state service's requests and answers. */
 public final class StateWire {
+  /**
+   * What the values of a transaction may take together, with {@link #CHANGE_OVERHEAD} for each: the
+   * service takes 64 KiB, of which keys and conditions need the rest.
+   */
+  public static final int MAX_COMMIT_BYTES = 56_000;
+
+  /** What a change takes beside its value. */
+  public static final int CHANGE_OVERHEAD = 300;
+
   private StateWire() {}
 
   /** One change: a put, or with a null value a delete; a lease of 0 attaches to none. */
--- a/src/test/java/io/cherryspool/sim/CostCluster.java
+++ b/src/test/java/io/cherryspool/sim/CostCluster.java
@@ -8,9 +8,11 @@
 import io.cherryspool.http.Request;
 import io.cherryspool.model.Job;
 import io.cherryspool.model.MachineType;
+import io.cherryspool.model.Priority;
 import io.cherryspool.model.Resources;
 import io.cherryspool.wire.StateWire;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -105,6 +107,29 @@
             machine -> {});
   }
 
+  /** A job of the one team, whose tasks are equal. */
+  static Job job(String id, int tasks, double cpus, Duration estimate) {
+    return new Job(
+        id,
+        "lane",
+        "red",
+        Priority.NORMAL,
+        tasks,
+        new Resources(cpus, 0, 2 * cpus),
+        "img",
+        1,
+        null,
+        null,
+        false,
+        false,
+        true,
+        estimate,
+        Duration.ZERO,
+        Duration.ZERO,
+        null,
+        Instant.EPOCH);
+  }
+
   /** The services listen; there is no machine yet. */
   void listen() throws InterruptedException {
     new NettyServer(stateLoop, state, SOCKETS).bind(stateAddress);
--- a/src/test/java/io/cherryspool/sim/LossInjector.java
+++ b/src/test/java/io/cherryspool/sim/LossInjector.java
@@ -20,7 +20,6 @@
   private final SplittableRandom random;
   private final double end;
   private final Deque<StandInState.Saved> saved = new ArrayDeque<>();
-  private int losses;
 
   /**
    * @param end when the last may begin, in seconds
@@ -36,10 +35,6 @@
     cluster.after(28, this::strike);
   }
 
-  int losses() {
-    return losses;
-  }
-
   private void save() {
     saved.addFirst(cluster.state().save());
     if (saved.size() > SAVED) {
@@ -63,7 +58,6 @@
   }
 
   private void lose() {
-    losses++;
     List<StandInState.Saved> all = new ArrayList<>(saved);
     if (random.nextBoolean() || all.isEmpty()) {
       cluster.state().loseAll();
--- a/src/test/java/io/cherryspool/sim/LostStateLoopbackTest.java
+++ b/src/test/java/io/cherryspool/sim/LostStateLoopbackTest.java
@@ -6,8 +6,6 @@
 import io.cherryspool.http.Reply;
 import io.cherryspool.http.Request;
 import io.cherryspool.model.Job;
-import io.cherryspool.model.Priority;
-import io.cherryspool.model.Resources;
 import io.cherryspool.wire.JobWire;
 import io.cherryspool.wire.Json;
 import io.cherryspool.wire.WireException;
@@ -15,11 +13,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -103,26 +101,7 @@
   private String submit(int tasks, double seconds) throws InterruptedException {
     String id = String.format("req-%06d", jobs.size() + 1);
     // The stand-in workers run a task for half of the estimate and up to 4 s more.
-    Job job =
-        new Job(
-            id,
-            "lane",
-            "red",
-            Priority.NORMAL,
-            tasks,
-            new Resources(2, 0, 4),
-            "img",
-            1,
-            null,
-            null,
-            false,
-            false,
-            true,
-            Duration.ofMillis((long) (seconds * 2000)),
-            Duration.ZERO,
-            Duration.ZERO,
-            null,
-            Instant.EPOCH);
+    Job job = CostCluster.job(id, tasks, 2, Duration.ofMillis((long) (seconds * 2000)));
     jobs.put(id, job);
     cluster.loop().execute(() -> cluster.describe(job));
     until(
@@ -193,7 +172,7 @@
 
   private void checkTheRecord() {
     assertEquals(0, cluster.leasesLost(), "no worker lost its tasks");
-    assertEquals(java.util.Set.of(), cluster.startedTwice());
+    assertEquals(Set.of(), cluster.startedTwice());
     Map<String, Integer> completed = cluster.completed();
     jobs.forEach(
         (id, job) -> {
--- a/src/test/java/io/cherryspool/sim/RecoveryDriver.java
+++ b/src/test/java/io/cherryspool/sim/RecoveryDriver.java
@@ -5,8 +5,6 @@
 import io.cherryspool.http.Request;
 import io.cherryspool.model.Job;
 import io.cherryspool.model.Outcome;
-import io.cherryspool.model.Priority;
-import io.cherryspool.model.Resources;
 import io.cherryspool.recovery.SnapshotDirectory;
 import io.cherryspool.store.Records;
 import io.cherryspool.wire.JobWire;
@@ -17,7 +15,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -149,25 +146,7 @@
   }
 
   private static Job job(String id, int tasks) {
-    return new Job(
-        id,
-        "lane",
-        "red",
-        Priority.NORMAL,
-        tasks,
-        new Resources(2, 0, 4),
-        "img",
-        1,
-        null,
-        null,
-        false,
-        false,
-        true,
-        Duration.ofHours(1),
-        Duration.ZERO,
-        Duration.ZERO,
-        null,
-        Instant.EPOCH);
+    return CostCluster.job(id, tasks, 2, Duration.ofHours(1));
   }
 
   private void putEnded(String id) {
