--- a/src/main/java/io/cherryspool/cli/Commands.java
+++ b/src/main/java/io/cherryspool/cli/Commands.java
@@ -14,8 +14,8 @@
     name = "cherryspool",
     mixinStandardHelpOptions = true,
     versionProvider = Commands.Version.class,
-    subcommands = {RecoveryCommands.class, SnapshotCommands.class},
-    description = "A small cluster scheduler: three controllers, no disk.")
+    subcommands = {LinksCommand.class, RecoveryCommands.class, SnapshotCommands.class},
+    description = "A small cluster scheduler: three to five controllers, no disk.")
 final class Commands implements Runnable {
   @Spec private CommandSpec spec;
 
@@ -27,7 +27,7 @@
   @Override
   public void run() {
     throw new ParameterException(
-        spec.commandLine(), "Say what to do: serve, check-config, recovery or snapshot.");
+        spec.commandLine(), "Say what to do: serve, check-config, links, recovery or snapshot.");
   }
 
   /** The files that both commands read. */
--- a/src/main/java/io/cherryspool/cli/JsonText.java
+++ b/src/main/java/io/cherryspool/cli/JsonText.java
@@ -21,6 +21,15 @@
     }
   }
 
+  /** The text as JSON; an empty object if it is none. */
+  static JsonNode parse(String text) {
+    try {
+      return MAPPER.readTree(text);
+    } catch (IOException e) {
+      return MAPPER.createObjectNode();
+    }
+  }
+
   /** A field of an object; the whole text if there is none. */
   static String field(String text, String name) {
     try {
--- a/src/main/java/io/cherryspool/cli/RecoveryCommands.java
+++ b/src/main/java/io/cherryspool/cli/RecoveryCommands.java
@@ -1,11 +1,7 @@
 package io.cherryspool.cli;
 
-import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
+import java.util.Optional;
 import picocli.CommandLine;
 import picocli.CommandLine.ArgGroup;
 import picocli.CommandLine.Command;
@@ -22,9 +18,7 @@
     description = "Shows and decides what a loss of the state service's data left open.")
 final class RecoveryCommands implements Runnable {
   /** The exit status when the node refuses, or can't be reached. */
-  static final int REFUSED = 1;
-
-  private static final Duration PATIENCE = Duration.ofSeconds(5);
+  static final int REFUSED = NodeClient.REFUSED;
 
   @Spec private CommandSpec spec;
 
@@ -33,16 +27,6 @@
     throw new ParameterException(spec.commandLine(), "Say what to do: status, held or resolve.");
   }
 
-  /** The node that is asked. */
-  static final class Node {
-    @Option(
-        names = "--node",
-        required = true,
-        paramLabel = "HOST:PORT",
-        description = "The address at which the node takes users' requests.")
-    String address;
-  }
-
   /** What becomes of a job; one of the two. */
   static final class Decision {
     @Option(names = "--repeat", description = "Run again what did not report.")
@@ -58,7 +42,7 @@
       name = "status",
       mixinStandardHelpOptions = true,
       description = "Prints what the node knows of the records, and what it does about a loss.")
-  int status(@CommandLine.Mixin Node node) throws InterruptedException {
+  int status(@CommandLine.Mixin NodeAddress node) throws InterruptedException {
     return print(node, HttpRequest.newBuilder().GET(), "status");
   }
 
@@ -66,7 +50,7 @@
       name = "held",
       mixinStandardHelpOptions = true,
       description = "Lists the jobs that wait for a decision, and those that nobody has described.")
-  int held(@CommandLine.Mixin Node node) throws InterruptedException {
+  int held(@CommandLine.Mixin NodeAddress node) throws InterruptedException {
     return print(node, HttpRequest.newBuilder().GET(), "held");
   }
 
@@ -75,7 +59,7 @@
       mixinStandardHelpOptions = true,
       description = "Decides on a job that is held, or that nobody has described.")
   int resolve(
-      @CommandLine.Mixin Node node,
+      @CommandLine.Mixin NodeAddress node,
       @Parameters(paramLabel = "JOB", description = "The job's id.") String job,
       @ArgGroup(exclusive = true, multiplicity = "1") Decision decision)
       throws InterruptedException {
@@ -87,34 +71,23 @@
     return print(node, HttpRequest.newBuilder().POST(publisher), "resolve");
   }
 
-  private int print(Node node, HttpRequest.Builder request, String what)
+  private int print(NodeAddress node, HttpRequest.Builder request, String what)
       throws InterruptedException {
-    URI uri;
-    try {
-      uri = URI.create("http://" + node.address + "/recovery/" + what);
-      request.uri(uri).timeout(PATIENCE);
-    } catch (IllegalArgumentException e) {
-      throw new ParameterException(spec.commandLine(), "not an address: " + node.address);
-    }
-    try {
-      HttpResponse<String> answer =
-          HttpClient.newBuilder()
-              .connectTimeout(PATIENCE)
-              .build()
-              .send(request.build(), HttpResponse.BodyHandlers.ofString());
-      if (answer.statusCode() == 200) {
-        System.out.println(JsonText.indented(answer.body()));
-        return 0;
-      }
-      String why = JsonText.field(answer.body(), "error");
-      boolean off = answer.statusCode() == 404;
-      System.err.println(
-          "cherryspool: "
-              + (off ? node.address + " does not look for losses (recovery is off)" : why));
-      return REFUSED;
-    } catch (IOException e) {
-      System.err.println("cherryspool: " + node.address + " can't be reached: " + e);
+    Optional<NodeClient.Answer> given =
+        NodeClient.ask(spec.commandLine(), node, request, "/recovery/" + what);
+    if (given.isEmpty()) {
       return REFUSED;
     }
+    NodeClient.Answer answer = given.get();
+    if (answer.status() == 200) {
+      System.out.println(JsonText.indented(answer.body()));
+      return 0;
+    }
+    String why =
+        answer.status() == 404
+            ? answer.address() + " does not look for losses (recovery is off)"
+            : JsonText.field(answer.body(), "error");
+    System.err.println("cherryspool: " + why);
+    return REFUSED;
   }
 }
