Fail chosen links of real controllers by a relay, and count double starts and lost answers

Need: partial cuts shown with real processes and sockets.

Change: a relay on each link of three controllers, which resets connections or holds one direction; PartitionLoopbackTest fails the leader's link to the state service, the reports to it and the heartbeats to it, and lets links flap, while two controllers are ended.

--- a/src/test/java/io/cherryspool/sim/CostCluster.java
+++ b/src/test/java/io/cherryspool/sim/CostCluster.java
@@ -68,6 +68,7 @@
   private final StandInCloud cloud;
   private final NettyClient client = new NettyClient(loop, SOCKETS);
   private final LoopbackNodes nodes;
+  private final Map<String, Endpoint> workerAddresses;
   private final ExecutorService binding = Executors.newSingleThreadExecutor();
   private final List<StandInWorker> workers = new ArrayList<>();
   private final Map<String, Job> jobs = new HashMap<>();
@@ -82,6 +83,12 @@
    *     workers have the one after it
    */
   CostCluster(int services, int controllers, int size, LoopbackNodes.Limits limits) {
+    this(services, controllers, size, limits, LoopbackRoutes.DIRECT);
+  }
+
+  /** As above, with links that the routes lead over. */
+  CostCluster(
+      int services, int controllers, int size, LoopbackNodes.Limits limits, LoopbackRoutes routes) {
     this.size = size;
     String network = "127." + services + ".";
     stateAddress = new Endpoint(network + "1.1", STATE_PORT);
@@ -95,7 +102,9 @@
             cloudAddress,
             REPORT,
             LEASE,
-            limits);
+            limits,
+            routes);
+    workerAddresses = nodes.workerAddresses();
     cloud =
         new StandInCloud(
             loop,
@@ -159,7 +168,7 @@
             random.split(),
             new NettyClient(loop, SOCKETS_PER_WORKER),
             machine,
-            nodes.addresses(),
+            workerAddresses,
             jobs::get,
             REPORT,
             LEASE,
--- a/src/test/java/io/cherryspool/sim/LoopbackNodes.java
+++ b/src/test/java/io/cherryspool/sim/LoopbackNodes.java
@@ -24,6 +24,7 @@
   private final Duration report;
   private final Duration lease;
   private final Limits limits;
+  private final LoopbackRoutes routes;
   private final Map<String, Endpoint> addresses = new LinkedHashMap<>();
 
   /**
@@ -41,7 +42,8 @@
       Endpoint cloud,
       Duration report,
       Duration lease,
-      Limits limits) {
+      Limits limits,
+      LoopbackRoutes routes) {
     this.count = count;
     this.network = network;
     this.port = port;
@@ -50,6 +52,7 @@
     this.report = report;
     this.lease = lease;
     this.limits = limits;
+    this.routes = routes;
     for (int i = 0; i < count; i++) {
       addresses.put(name(i), new Endpoint(host(i), port));
     }
@@ -64,6 +67,15 @@
     return addresses;
   }
 
+  /** Where workers reach each node, by its name. */
+  Map<String, Endpoint> workerAddresses() {
+    Map<String, Endpoint> result = new LinkedHashMap<>();
+    for (int i = 0; i < count; i++) {
+      result.put(name(i), routes.controller(i, addresses.get(name(i))));
+    }
+    return result;
+  }
+
   static String name(int index) {
     return "node-" + index;
   }
@@ -72,8 +84,8 @@
     return network + (index + 1);
   }
 
-  private String mesh(int index) {
-    return new Endpoint(host(index), port + 1).toString();
+  private Endpoint mesh(int index) {
+    return new Endpoint(host(index), port + 1);
   }
 
   /** Writes the settings of one node into the folder. */
@@ -85,15 +97,16 @@
   private ObjectNode settings(int index) {
     ObjectNode root = Json.object().put("host_name", name(index)).put("site", zone(index));
     root.put("client_listen", addresses.get(name(index)).toString());
-    root.put("mesh_addr", mesh(index));
+    root.put("mesh_addr", mesh(index).toString());
     ArrayNode known = root.putArray("known");
     for (int i = 0; i < count; i++) {
       if (i != index) {
         ObjectNode peer = known.addObject().put("host_name", name(i));
-        peer.put("site", zone(i)).put("endpoint", mesh(i));
+        peer.put("site", zone(i)).put("endpoint", routes.peer(index, i, mesh(i)).toString());
       }
     }
-    root.putObject("services").put("cloud", cloud.toString()).put("state", state.toString());
+    String reached = routes.state(index, state).toString();
+    root.putObject("services").put("cloud", cloud.toString()).put("state", reached);
     root.set("facts", facts());
     return root;
   }
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/PartitionLoopbackTest.java
@@ -0,0 +1,132 @@
+package io.cherryspool.sim;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.cherryspool.http.Reply;
+import io.cherryspool.http.Request;
+import io.cherryspool.wire.Json;
+import io.cherryspool.wire.WireException;
+import java.io.IOException;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * Three controllers as processes and a dozen stand-in workers, with a relay on each link of the
+ * controllers. Chosen links fail, alone and together, and two controllers are ended while links are
+ * down. No task may start twice, and no answer may be lost.
+ */
+class PartitionLoopbackTest extends LoopbackFixture {
+  private static final int SERVICES = 83;
+  private static final int CONTROLLERS = 3;
+  private static final int MACHINES = 12;
+
+  private static final RelayedRoutes ROUTES = new RelayedRoutes("127." + SERVICES + ".2.");
+
+  PartitionLoopbackTest() {
+    super(
+        CONTROLLERS,
+        new CostCluster(
+            SERVICES, CONTROLLERS, MACHINES, new LoopbackNodes.Limits(300, 120, 1024, 0), ROUTES));
+  }
+
+  @AfterAll
+  static void closeRelays() throws IOException {
+    ROUTES.close();
+  }
+
+  /** What a node tells of all links; empty without an answer. */
+  private Optional<JsonNode> links(int number) {
+    Reply reply = ask(number, Request.get("/links"));
+    try {
+      return reply == null || reply.status() != 200
+          ? Optional.empty()
+          : Optional.of(Json.parseObject(reply.body()));
+    } catch (WireException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /** Who says of itself that it leads; -1 if nobody does. */
+  private int leader() {
+    for (int i = 0; i < CONTROLLERS; i++) {
+      if (links(i)
+          .filter(root -> root.path("nodes").path(0).path("leading").asBoolean())
+          .isPresent()) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
+  private int awaitLeader() throws InterruptedException {
+    until("somebody leads", () -> leader() >= 0);
+    return leader();
+  }
+
+  private String verdict(int number) {
+    return links(number)
+        .map(root -> root.path("nodes").path(0).path("verdict").asText())
+        .orElse("");
+  }
+
+  @Test
+  @Timeout(240)
+  void noTaskStartsTwiceAndNoAnswerIsLost() throws Exception {
+    cluster.listen();
+    startControllers(Optional.empty());
+    cluster.bootWorkers();
+    submit(30, 12);
+    String cancelled = submit(6, 60);
+    until("tasks run", () -> cluster.onMachines() >= 20);
+
+    // The state service alone is lost to the leader, which passes its users on; a follower ends.
+    int leader = awaitLeader();
+    int follower = (leader + 1) % CONTROLLERS;
+    ROUTES.state(leader).become(TcpRelay.Mode.RESET);
+    until("the leader holds placing", () -> verdict(leader).startsWith("hold-placing"));
+    assertTrue(submitAt(leader, 3, 2), "accepted through another node");
+    kill(follower);
+    pollFor(3);
+    ROUTES.state(leader).become(TcpRelay.Mode.PASS);
+    start(follower, Optional.empty());
+
+    // No report reaches the leader, and the others' heartbeats are held on the way to it.
+    int second = awaitLeader();
+    cancel(cancelled);
+    ROUTES.workers(second).become(TcpRelay.Mode.HOLD_REQUESTS);
+    for (int i = 0; i < CONTROLLERS; i++) {
+      if (i != second) {
+        ROUTES.peer(i, second).become(TcpRelay.Mode.HOLD_REQUESTS);
+      }
+    }
+    submit(8, 6);
+    pollFor(5);
+    kill(second);
+    pollFor(2);
+    ROUTES.workers(second).become(TcpRelay.Mode.PASS);
+    for (int i = 0; i < CONTROLLERS; i++) {
+      if (i != second) {
+        ROUTES.peer(i, second).become(TcpRelay.Mode.PASS);
+      }
+    }
+    start(second, Optional.empty());
+
+    // The link of whoever leads flaps.
+    submit(10, 5);
+    for (int i = 0; i < 4; i++) {
+      int now = Math.max(0, leader());
+      ROUTES.state(now).become(TcpRelay.Mode.HOLD_ANSWERS);
+      pollFor(1);
+      ROUTES.state(now).become(TcpRelay.Mode.PASS);
+      pollFor(1);
+    }
+    until("all jobs have ended", this::allEnded);
+    checkAnswers();
+    until(
+        "all links are up again",
+        () -> links(0).filter(root -> root.path("all_up").asBoolean()).isPresent());
+  }
+}
--- a/src/test/java/io/cherryspool/sim/Playground.java
+++ b/src/test/java/io/cherryspool/sim/Playground.java
@@ -55,7 +55,8 @@
           CLOUD,
           REPORT,
           LEASE,
-          new LoopbackNodes.Limits(150, 60, 1000, 128));
+          new LoopbackNodes.Limits(150, 60, 1000, 128),
+          LoopbackRoutes.DIRECT);
   private final Map<String, StandInWorker> workers = new HashMap<>();
   private final Map<String, Job> descriptions = new HashMap<>();
 
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/RelayedRoutes.java
@@ -0,0 +1,75 @@
+package io.cherryspool.sim;
+
+import io.cherryspool.http.Endpoint;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.HashMap;
+import java.util.Map;
+
+/** A relay on each link of the controllers, so that a test can fail any of them alone. */
+final class RelayedRoutes implements LoopbackRoutes, AutoCloseable {
+  private static final int STATE_PORT = 12380;
+  private static final int PEER_PORT = 12400;
+  private static final int CONTROLLER_PORT = 12381;
+
+  private final String network;
+  private final Map<String, TcpRelay> relays = new HashMap<>();
+
+  /**
+   * @param network the first three parts of the relays' addresses, with a dot
+   */
+  RelayedRoutes(String network) {
+    this.network = network;
+  }
+
+  private Endpoint relayed(String name, int host, int port, Endpoint target) {
+    Endpoint at = new Endpoint(network + (host + 1), port);
+    relays.computeIfAbsent(
+        name,
+        key -> {
+          try {
+            return new TcpRelay(at, target);
+          } catch (IOException e) {
+            throw new UncheckedIOException(e);
+          }
+        });
+    return at;
+  }
+
+  @Override
+  public Endpoint state(int controller, Endpoint service) {
+    return relayed("state " + controller, controller, STATE_PORT, service);
+  }
+
+  @Override
+  public Endpoint peer(int from, int to, Endpoint mesh) {
+    return relayed("peer " + from + " " + to, from, PEER_PORT + to, mesh);
+  }
+
+  @Override
+  public Endpoint controller(int controller, Endpoint address) {
+    return relayed("workers " + controller, controller, CONTROLLER_PORT, address);
+  }
+
+  /** The controller's link to the state service. */
+  TcpRelay state(int controller) {
+    return relays.get("state " + controller);
+  }
+
+  /** The controller's heartbeats to another. */
+  TcpRelay peer(int from, int to) {
+    return relays.get("peer " + from + " " + to);
+  }
+
+  /** What workers report to the controller. */
+  TcpRelay workers(int controller) {
+    return relays.get("workers " + controller);
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (TcpRelay relay : relays.values()) {
+      relay.close();
+    }
+  }
+}
