--- a/src/main/java/io/cherryspool/controller/Election.java
+++ b/src/main/java/io/cherryspool/controller/Election.java
@@ -234,6 +234,10 @@
   }
 
   private void keepLeases() {
+    if (retry != null) {
+      retry.cancel();
+      retry = null;
+    }
     if (lease == null) {
       take();
       return;
--- a/src/main/java/io/cherryspool/reachability/FleetView.java
+++ b/src/main/java/io/cherryspool/reachability/FleetView.java
@@ -20,39 +20,48 @@
    * @param listed those that the cloud lists
    * @param unheard those of the listed ones that are not heard, or do not hear
    */
-  public record Zone(int known, int missing, int listed, int unheard) {
-    private static final Zone NONE = new Zone(0, 0, 0, 0);
-  }
+  public record Zone(int known, int missing, int listed, int unheard) {}
 
-  /** Counts machines one by one. */
+  /** Counts machines one by one, thousands of them twice a second. */
   public static final class Builder {
-    private final Map<String, Zone> zones = new TreeMap<>();
+    private final Map<String, Counts> zones = new TreeMap<>();
+
+    private static final class Counts {
+      private int known;
+      private int missing;
+      private int listed;
+      private int unheard;
+    }
 
     /**
      * Counts a machine that is not gone. One that the cloud does not list was taken back, or is too
      * new for the list; it says nothing of its zone.
      */
     public void add(String zone, boolean listed, Contact contact) {
-      boolean known = contact != Contact.NEW && (listed || contact != Contact.NEVER_HEARD);
-      Zone before = zones.getOrDefault(zone, Zone.NONE);
-      zones.put(
-          zone,
-          new Zone(
-              before.known + (known ? 1 : 0),
-              before.missing + (known && contact.missing() ? 1 : 0),
-              before.listed + (listed ? 1 : 0),
-              before.unheard + (listed && contact.unheard() ? 1 : 0)));
+      Counts counts = zones.computeIfAbsent(zone, key -> new Counts());
+      if (contact != Contact.NEW && (listed || contact != Contact.NEVER_HEARD)) {
+        counts.known++;
+        counts.missing += contact.missing() ? 1 : 0;
+      }
+      if (listed) {
+        counts.listed++;
+        counts.unheard += contact.unheard() ? 1 : 0;
+      }
     }
 
     /** The numbers so far. */
     public FleetView build() {
       int known = 0;
       int missing = 0;
-      for (Zone zone : zones.values()) {
-        known += zone.known;
-        missing += zone.missing;
+      Map<String, Zone> result = new TreeMap<>();
+      for (Map.Entry<String, Counts> entry : zones.entrySet()) {
+        Counts counts = entry.getValue();
+        known += counts.known;
+        missing += counts.missing;
+        result.put(
+            entry.getKey(), new Zone(counts.known, counts.missing, counts.listed, counts.unheard));
       }
-      return new FleetView(known, missing, Collections.unmodifiableMap(new TreeMap<>(zones)));
+      return new FleetView(known, missing, Collections.unmodifiableMap(result));
     }
   }
 }
--- a/src/test/java/io/cherryspool/sim/FlappingLinksTest.java
+++ b/src/test/java/io/cherryspool/sim/FlappingLinksTest.java
@@ -43,4 +43,18 @@
       assertEquals(0, cost.changes(), link + " for " + seconds + " s, seed " + seed);
     }
   }
+
+  /**
+   * Users of a node whose readings fail or hang are served through another. On the sources before,
+   * about twenty requests in two minutes were not served; without passing on while a reading hangs
+   * as many with the silent link.
+   */
+  @ParameterizedTest
+  @CsvSource({"STATE_REFUSED,1", "STATE_REFUSED,2", "STATE_SILENT,1", "STATE_SILENT,2"})
+  void usersHardlyNoticeAFlap(FlapDay.Link link, double seconds) {
+    for (long seed = 1; seed <= 2; seed++) {
+      FlapDay.Cost cost = FlapDay.play(seed, link, Duration.ofMillis((long) (seconds * 1000)));
+      assertTrue(cost.unserved() <= 5, link + " for " + seconds + " s, seed " + seed + ": " + cost);
+    }
+  }
 }
