Test that a request passed on is not passed on again, and share what the commands' tests start

Need: breaking the mark of requests that were passed on failed no test; two tests of commands started a node and caught what is printed in the same lines.

--- a/src/test/java/io/cherryspool/cli/RecoveryCommandsTest.java
+++ b/src/test/java/io/cherryspool/cli/RecoveryCommandsTest.java
@@ -3,81 +3,41 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.cherryspool.http.Endpoint;
-import io.cherryspool.http.NettyLoop;
-import io.cherryspool.http.NettyServer;
 import io.cherryspool.http.Reply;
 import io.cherryspool.http.Request;
 import io.cherryspool.recovery.Snapshot;
 import io.cherryspool.store.Picture;
-import java.io.ByteArrayOutputStream;
-import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
-import java.util.concurrent.CompletableFuture;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** What the commands print, and how they end. */
-class RecoveryCommandsTest {
-  private final NettyLoop loop = new NettyLoop();
-  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
-  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
-  private final PrintStream realOut = System.out;
-  private final PrintStream realErr = System.err;
-  private String node;
+class RecoveryCommandsTest extends CommandFixture {
   private volatile Request last;
 
-  @BeforeEach
-  void begin() throws InterruptedException {
-    NettyServer server = new NettyServer(loop, this::handle, 8);
-    server.bind(new Endpoint("127.0.0.1", 0));
-    node = "127.0.0.1:" + server.port();
-    System.setOut(new PrintStream(out, true, StandardCharsets.UTF_8));
-    System.setErr(new PrintStream(err, true, StandardCharsets.UTF_8));
-  }
-
-  @AfterEach
-  void end() throws InterruptedException {
-    System.setOut(realOut);
-    System.setErr(realErr);
-    loop.shutdown();
-    loop.join();
-  }
-
-  private CompletableFuture<Reply> handle(Request request) {
+  @Override
+  Reply answer(Request request) {
     last = request;
-    Reply reply =
-        switch (request.path()) {
-          case "/recovery/status" -> json(200, "{\"phase\":\"serving\",\"losses\":1}");
-          case "/recovery/resolve" -> json(409, "{\"error\":\"job req-000001 is not held\"}");
-          default -> json(404, "{\"error\":\"no such thing\"}");
-        };
-    return CompletableFuture.completedFuture(reply);
-  }
-
-  private static Reply json(int status, String text) {
-    return Reply.json(status, text.getBytes(StandardCharsets.UTF_8));
-  }
-
-  private static int run(String... words) {
-    return Commands.execute(words);
+    return switch (request.path()) {
+      case "/recovery/status" -> json(200, "{\"phase\":\"serving\",\"losses\":1}");
+      case "/recovery/resolve" -> json(409, "{\"error\":\"job req-000001 is not held\"}");
+      default -> json(404, "{\"error\":\"no such thing\"}");
+    };
   }
 
   @Test
   void statusIsPrinted() {
     assertEquals(0, run("recovery", "status", "--node", node));
-    assertTrue(out.toString(StandardCharsets.UTF_8).contains("\"phase\" : \"serving\""));
+    assertTrue(printed().contains("\"phase\" : \"serving\""));
   }
 
   @Test
   void aRefusalEndsWithOneAndItsReason() {
     assertEquals(1, run("recovery", "resolve", "--node", node, "req-000001", "--repeat"));
-    assertTrue(err.toString(StandardCharsets.UTF_8).contains("job req-000001 is not held"));
+    assertTrue(complaints().contains("job req-000001 is not held"));
     assertEquals(
         "{\"job\":\"req-000001\",\"decision\":\"repeat\"}",
         new String(last.body(), StandardCharsets.UTF_8));
@@ -86,10 +46,9 @@
   @Test
   void aNodeThatLooksForNoLossesAndOneThatIsNotThereAreSaidSo() {
     assertEquals(1, run("recovery", "held", "--node", node));
-    assertTrue(err.toString(StandardCharsets.UTF_8).contains("recovery is off"));
-    err.reset();
+    assertTrue(complaints().contains("recovery is off"));
     assertEquals(1, run("recovery", "status", "--node", "127.0.0.1:1"));
-    assertTrue(err.toString(StandardCharsets.UTF_8).contains("can't be reached"));
+    assertTrue(complaints().contains("can't be reached"));
   }
 
   @Test
@@ -113,9 +72,9 @@
     assertEquals(0, run("snapshot", "verify", good.toString()));
     assertEquals(1, run("snapshot", "verify", other.toString()));
     assertEquals(1, run("snapshot", "verify", folder.resolve("none").toString()));
-    assertTrue(err.toString(StandardCharsets.UTF_8).contains("NOT_A_SNAPSHOT"));
+    assertTrue(complaints().contains("NOT_A_SNAPSHOT"));
     assertEquals(0, run("snapshot", "list", folder.toString()));
-    String listed = out.toString(StandardCharsets.UTF_8);
+    String listed = printed();
     assertTrue(listed.contains("1-1-1.snapshot  taken 1970"), listed);
     assertTrue(listed.contains("2-1-1.snapshot  NOT_A_SNAPSHOT"), listed);
   }
--- a/src/test/java/io/cherryspool/sim/PartitionTest.java
+++ b/src/test/java/io/cherryspool/sim/PartitionTest.java
@@ -278,4 +278,24 @@
     assertEquals(1, answers.size());
     assertTrue(answers.get(0).contains(leader.name()), answers.get(0));
   }
+
+  /** Two nodes that take each other for well would pass a request to and fro. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "?forwarded"})
+  void aRequestThatWasPassedOnIsNotPassedOnAgain(String mark) {
+    settle(1, 3);
+    Job job = submit("red", 1, 1, LONG);
+    awaitRunning(job, 1);
+    ControllerNode node = cluster.leader();
+    node.refuse(CUT);
+    cluster.run(4);
+    List<Integer> answers = new ArrayList<>();
+    cluster
+        .net()
+        .from("user", Gate.open())
+        .send(node.address(), Request.get("/api/jobs/" + job.id() + mark), CUT)
+        .thenAccept(reply -> answers.add(reply.status()));
+    cluster.run(2);
+    assertEquals(List.of(mark.isEmpty() ? 200 : 503), answers);
+  }
 }
