Say for each waiting task why a round does not place it

A plan now counts the tasks it leaves waiting by cause (quota, no machine, reserved machine, excluded machine, zone constraint), the leader shows the counts as cherryspool_tasks_held, and at debug level each change of the decision on a job is a line. Counting costs one map entry for each queue entry; decisions are kept only while debug is on.

--- a/src/main/java/io/cherryspool/controller/metrics/Meters.java
+++ b/src/main/java/io/cherryspool/controller/metrics/Meters.java
@@ -25,6 +25,9 @@
   /** Tasks stopped as victims of a preemption. */
   public final EventCounter preemptions = new EventCounter();
 
+  /** What the last plan left without a machine; zero on nodes that do not lead. */
+  public final HeldTasks heldTasks = new HeldTasks();
+
   /** Heartbeats that were not this node's to answer. */
   public final EventCounter redirectedHeartbeats = new EventCounter();
 
@@ -41,6 +44,7 @@
     lostTasks.bindTo(registry, "cherryspool.lapses");
     taskFailures.bindTo(registry, "cherryspool.failures");
     preemptions.bindTo(registry, "cherryspool.stops");
+    heldTasks.bindTo(registry);
     redirectedHeartbeats.bindTo(registry, "cherryspool.reports.redirected");
     forwardedRequests.bindTo(registry, "cherryspool.requests.forwarded");
     refusedRequests.bindTo(registry, "cherryspool.requests.refused");
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/rounds/RoundDecisionLog.java
@@ -0,0 +1,72 @@
+package io.cherryspool.controller.rounds;
+
+import io.cherryspool.scheduler.ClusterView;
+import io.cherryspool.scheduler.EntryDecision;
+import io.cherryspool.scheduler.HoldCause;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes at debug level what rounds decide on each job, and why tasks wait: a line for each job of
+ * which the decision has changed since the round before, so that a job that waits has one line.
+ *
+ * <p>Used on the event loop only.
+ */
+final class RoundDecisionLog {
+  private static final Logger LOG = LoggerFactory.getLogger(RoundDecisionLog.class);
+
+  private Map<String, List<EntryDecision>> lastByJob = Map.of();
+
+  /** Whether decisions are to be recorded; otherwise nothing is kept and nothing written. */
+  boolean isEnabled() {
+    return LOG.isDebugEnabled();
+  }
+
+  /** The decisions of one round, while it is planned. */
+  final class Round implements EntryDecision.Listener {
+    private final Map<String, List<EntryDecision>> byJob = new HashMap<>();
+
+    @Override
+    public void entryPlanned(EntryDecision decision) {
+      byJob.computeIfAbsent(decision.jobId(), key -> new ArrayList<>(2)).add(decision);
+    }
+
+    /** Writes what has changed since the round before. */
+    void write(ClusterView view, Map<HoldCause, Integer> heldTasks) {
+      int freeMachines = 0;
+      for (ClusterView.MachineView machine : view.machines()) {
+        freeMachines += machine.runningTasks().isEmpty() ? 1 : 0;
+      }
+      LOG.debug(
+          "round: jobs={} machines={} idle={} usage={} held={}",
+          view.jobs().size(),
+          view.machines().size(),
+          freeMachines,
+          new TreeMap<>(view.usageByTeam()),
+          heldTasks);
+      byJob.forEach(
+          (job, decisions) -> {
+            if (!decisions.equals(lastByJob.get(job))) {
+              decisions.forEach(Round::writeDecision);
+            }
+          });
+      lastByJob = byJob;
+    }
+
+    private static void writeDecision(EntryDecision decision) {
+      LOG.debug(
+          "round: job={} promoted={} placed={} over-quota={} unschedulable={} cause={}",
+          decision.jobId(),
+          decision.isPromoted(),
+          decision.placed(),
+          decision.overQuota(),
+          decision.unschedulable(),
+          decision.machineCause().map(HoldCause::label).orElse("none"));
+    }
+  }
+}
--- a/src/main/java/io/cherryspool/controller/rounds/RoundPlanner.java
+++ b/src/main/java/io/cherryspool/controller/rounds/RoundPlanner.java
@@ -38,6 +38,7 @@
   private final int maxChanges;
   private final Meters meters;
   private final SchedulingLoop.Host host;
+  private final RoundDecisionLog decisionLog = new RoundDecisionLog();
   private RoundPlan lastPlan = RoundPlan.EMPTY;
 
   /**
@@ -97,10 +98,12 @@
     List<ClusterView.JobView> jobs = views.schedulableJobs(now);
     if (jobs.isEmpty()) {
       lastPlan = RoundPlan.EMPTY;
+      meters.heldTasks.clear();
       return;
     }
     meters.plannedRounds.increment();
-    lastPlan = Placement.plan(views.build(jobs, lastPlan, now));
+    lastPlan = plan(views.build(jobs, lastPlan, now));
+    meters.heldTasks.set(lastPlan.heldTasks());
     meters.preemptions.add(lastPlan.victims().size());
     for (RoundPlan.Assignment item : lastPlan.assignments()) {
       JobRecord job = records.job(item.jobId());
@@ -121,6 +124,16 @@
     }
   }
 
+  private RoundPlan plan(ClusterView view) {
+    if (!decisionLog.isEnabled()) {
+      return Placement.plan(view);
+    }
+    RoundDecisionLog.Round round = decisionLog.new Round();
+    RoundPlan plan = Placement.plan(view, round);
+    round.write(view, plan.heldTasks());
+    return plan;
+  }
+
   private void requestStops(List<RoundPlan.Victim> victims) {
     Map<String, Integer> countByJob = new LinkedHashMap<>();
     for (RoundPlan.Victim victim : victims) {
--- a/src/main/java/io/cherryspool/controller/rounds/SchedulingLoop.java
+++ b/src/main/java/io/cherryspool/controller/rounds/SchedulingLoop.java
@@ -126,6 +126,7 @@
     // A read under way may be answered long after, and must not begin a round of a past term.
     commitState = CommitState.STOPPED;
     committer.stop();
+    meters.heldTasks.clear();
     if (nextRound != null) {
       nextRound.cancel();
     }
--- a/src/main/java/io/cherryspool/scheduler/BinPool.java
+++ b/src/main/java/io/cherryspool/scheduler/BinPool.java
@@ -38,6 +38,7 @@
   private static final int MAX_SLOTS = 1000;
 
   private final List<Bin> bins = new ArrayList<>();
+  private final List<Bin> reserved = new ArrayList<>();
   private final Map<Demand, List<Bin>> rankings = new HashMap<>();
   private final List<Job> contendingJobs;
   private int examined;
@@ -192,10 +193,30 @@
     }
     if (nearest != null) {
       nearest.reserve();
+      reserved.add(nearest);
       bins.remove(nearest);
     }
   }
 
+  /** Whether a machine that is reserved for another job has room for a task of this one. */
+  boolean hasReservedRoom(Job job) {
+    return hasRoom(reserved, job);
+  }
+
+  /** Whether a machine of any zone, which is not reserved, has room for a task of the job. */
+  boolean hasRoom(Job job) {
+    return hasRoom(bins, job);
+  }
+
+  private static boolean hasRoom(List<Bin> among, Job job) {
+    for (Bin bin : among) {
+      if (bin.accepts(job) && !bin.excludes(job)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Leaves the machines without free resources out of later rankings. */
   void removeFull() {
     bins.removeIf(Bin::isFull);
--- a/src/main/java/io/cherryspool/scheduler/Placement.java
+++ b/src/main/java/io/cherryspool/scheduler/Placement.java
@@ -5,6 +5,7 @@
 import io.cherryspool.model.Team;
 import io.cherryspool.scheduler.ClusterView.JobView;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -28,17 +29,29 @@
   private final List<RoundPlan.Assignment> assignments = new ArrayList<>();
   private final List<RoundPlan.TaskGroup> unschedulable = new ArrayList<>();
   private final List<RoundPlan.TaskGroup> overQuota = new ArrayList<>();
+  private final Map<HoldCause, Integer> heldTasks = new EnumMap<>(HoldCause.class);
+  private final EntryDecision.Listener listener;
+
+  /** Why the tasks of the last entry that was placed in part lack machines. */
+  private HoldCause machineCause = HoldCause.NO_MACHINE;
+
   private int examined;
 
-  private Placement(ClusterView view) {
+  private Placement(ClusterView view, EntryDecision.Listener listener) {
     this.view = view;
+    this.listener = listener;
     this.usageByTeam = new HashMap<>(view.usageByTeam());
     this.bins = new BinPool(view);
   }
 
   /** The plan for the view. Equal views give equal plans. */
   public static RoundPlan plan(ClusterView view) {
-    Placement placement = new Placement(view);
+    return plan(view, EntryDecision.Listener.NONE);
+  }
+
+  /** As above; the listener receives the decision on each entry of the queue. */
+  public static RoundPlan plan(ClusterView view, EntryDecision.Listener listener) {
+    Placement placement = new Placement(view, listener);
     for (QueueOrder.Entry entry : QueueOrder.sortedEntries(view)) {
       placement.place(entry);
     }
@@ -47,6 +60,7 @@
         Preemption.plan(view, placement.unschedulable, placement.overQuota, placement.assignments),
         placement.unschedulable,
         RelocatableTasks.find(view, placement.unschedulable),
+        placement.heldTasks,
         placement.bins.examined() + placement.examined);
   }
 
@@ -78,6 +92,7 @@
         // The quota that the team's other tasks free next is kept for this one.
         usageByTeam.put(job.team(), usage.plus(job.perTask()));
       }
+      decided(entry, 0, tasks.size(), 0);
       return;
     }
     usageByTeam.put(job.team(), usage.plus(job.perTask().times(allowed)));
@@ -88,6 +103,24 @@
         bins.reserve(job);
       }
     }
+    decided(entry, placed, tasks.size() - allowed, allowed - placed);
+  }
+
+  /** Counts the tasks that are held, and passes the decision on. */
+  private void decided(QueueOrder.Entry entry, int placed, int overQuota, int lackMachine) {
+    Optional<HoldCause> cause = Optional.empty();
+    if (lackMachine > 0) {
+      cause = Optional.of(machineCause);
+      heldTasks.merge(machineCause, lackMachine, Integer::sum);
+    }
+    if (overQuota > 0) {
+      heldTasks.merge(HoldCause.OVER_QUOTA, overQuota, Integer::sum);
+    }
+    if (listener != EntryDecision.Listener.NONE) {
+      listener.entryPlanned(
+          new EntryDecision(
+              entry.view().job().id(), entry.isPromoted(), placed, overQuota, lackMachine, cause));
+    }
   }
 
   /** Places the tasks in order as far as machines have room, and returns how many. */
@@ -99,28 +132,51 @@
     Map<String, Integer> byZone =
         tasksByZone.computeIfAbsent(job.id(), key -> new HashMap<>(jobView.ownedTasksByZone()));
     if (!job.requiresSingleZone()) {
-      return new BinFiller(job, tasks, byZone).fill(bins.rank(job));
+      BinFiller filler = new BinFiller(job, tasks, byZone);
+      filler.fill(bins.rank(job));
+      return countPlaced(filler);
     }
     Optional<String> zone = chooseZone(job, byZone, tasks.size());
     if (zone.isEmpty()) {
+      machineCause = causeWithoutRoom(job);
       return 0;
     }
-    return new BinFiller(job, tasks, byZone).fill(bins.rank(job, zone.get()));
+    BinFiller filler = new BinFiller(job, tasks, byZone);
+    filler.fill(bins.rank(job, zone.get()));
+    filler.hasMetZoneLimit = filler.placed < tasks.size() && bins.hasRoom(job);
+    return countPlaced(filler);
+  }
+
+  /** How many tasks the filler has placed; notes why it has not placed the others. */
+  private int countPlaced(BinFiller filler) {
+    if (filler.hasMetZoneLimit) {
+      machineCause = HoldCause.ZONE_CONSTRAINT;
+    } else if (filler.hasMetExclusion) {
+      machineCause = HoldCause.EXCLUDED_MACHINE;
+    } else {
+      machineCause = causeWithoutRoom(filler.job);
+    }
+    return filler.placed;
+  }
+
+  private HoldCause causeWithoutRoom(Job job) {
+    return bins.hasReservedRoom(job) ? HoldCause.RESERVED_MACHINE : HoldCause.NO_MACHINE;
   }
 
   /** Places tasks of a job without constraints on the zones of its tasks together. */
   private int placeInAnyZone(Job job, List<Integer> tasks) {
     if (isUnsatisfiable(job)) {
+      machineCause = causeWithoutRoom(job);
       return 0;
     }
     BinFiller filler = new BinFiller(job, tasks, null);
-    int placed = filler.fill(bins.sharedRanking(job));
-    if (placed < tasks.size() && !filler.hasMetExclusion) {
+    filler.fill(bins.sharedRanking(job));
+    if (filler.placed < tasks.size() && !filler.hasMetExclusion) {
       unsatisfiable.add(
           new UnsatisfiableDemand(
               job.perTask(), job.allowedTypes(), job.requiredZone(), job.allowsSpot()));
     }
-    return placed;
+    return countPlaced(filler);
   }
 
   private boolean isUnsatisfiable(Job job) {
@@ -149,6 +205,7 @@
     private final Map<String, Integer> byZone;
     private int placed;
     private boolean hasMetExclusion;
+    private boolean hasMetZoneLimit;
 
     /**
      * Starts with no task placed.
@@ -162,10 +219,10 @@
     }
 
     /**
-     * Places the tasks in order as far as the machines have room, and returns how many. Machines
-     * without room are removed from the ranking.
+     * Places the tasks in order as far as the machines have room. Machines without room are removed
+     * from the ranking.
      */
-    int fill(List<Bin> ranking) {
+    void fill(List<Bin> ranking) {
       boolean hasFilledMachine = false;
       for (Iterator<Bin> all = ranking.iterator(); all.hasNext() && placed < tasks.size(); ) {
         Bin bin = all.next();
@@ -181,7 +238,6 @@
       if (hasFilledMachine) {
         bins.removeFull();
       }
-      return placed;
     }
 
     /** Places as many tasks as fit on the machine, and returns whether that leaves it full. */
@@ -190,6 +246,7 @@
       int wanted = tasks.size() - placed;
       if (byZone != null) {
         wanted = Math.min(wanted, job.maxTasksPerZone() - byZone.getOrDefault(zone, 0));
+        hasMetZoneLimit |= wanted <= 0;
       }
       int count = wanted <= 0 ? 0 : job.perTask().countFittingIn(bin.free(), wanted);
       if (count == 0) {
--- a/src/main/java/io/cherryspool/scheduler/RoundPlan.java
+++ b/src/main/java/io/cherryspool/scheduler/RoundPlan.java
@@ -4,6 +4,7 @@
 import io.cherryspool.model.TaskId;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 
 /**
  * The decisions of a round.
@@ -13,6 +14,7 @@
  * @param unschedulable the pending tasks within their teams' quotas for which no machine has room
  * @param relocatable running tasks that take machines which unschedulable ones need, though they
  *     could run on other types
+ * @param heldTasks counts all pending tasks that are not placed, by cause
  * @param machinesExamined how often a machine was examined for a task, a measure of the plan's cost
  */
 public record RoundPlan(
@@ -20,11 +22,12 @@
     List<Victim> victims,
     List<TaskGroup> unschedulable,
     List<TaskGroup> relocatable,
+    Map<HoldCause, Integer> heldTasks,
     int machinesExamined) {
 
   /** The plan of a round without pending tasks. */
   public static final RoundPlan EMPTY =
-      new RoundPlan(List.of(), List.of(), List.of(), List.of(), 0);
+      new RoundPlan(List.of(), List.of(), List.of(), List.of(), Map.of(), 0);
 
   /**
    * A pending task placed on a machine.
--- a/src/test/java/io/cherryspool/sim/cluster/ClusterSettings.java
+++ b/src/test/java/io/cherryspool/sim/cluster/ClusterSettings.java
@@ -55,16 +55,29 @@
           new Team("blue", 40, 96, 0, 0),
           new Team("guest", 0, 0, 0, 0));
 
+  /** Quotas that two jobs of usual size use up. */
+  static final List<Team> TIGHT_TEAMS =
+      List.of(
+          new Team("red", 16, 24, 0, 0),
+          new Team("blue", 16, 32, 0, 0),
+          new Team("guest", 0, 16, 0, 0));
+
   private final Map<String, Endpoint> addresses = new LinkedHashMap<>();
   private final double stateWritesPerS;
   private final OperatorSettings operatorSettings;
+  private final List<Team> teams;
 
   /**
    * Creates the cluster settings.
    *
    * @param recovery how nodes rebuild lost records; empty if they don't
    */
-  ClusterSettings(int controllers, double stateWritesPerS, Optional<RecoverySettings> recovery) {
+  ClusterSettings(
+      int controllers,
+      double stateWritesPerS,
+      Optional<RecoverySettings> recovery,
+      List<Team> teams) {
+    this.teams = teams;
     this.stateWritesPerS = stateWritesPerS;
     this.operatorSettings = operatorSettings(recovery);
     for (int i = 0; i < controllers; i++) {
@@ -92,6 +105,10 @@
     return SimulatedCluster.ZONES.get(index % SimulatedCluster.ZONES.size());
   }
 
+  List<Team> teams() {
+    return teams;
+  }
+
   /** Where users and workers reach each node, by name, in the order of the nodes. */
   Map<String, Endpoint> addresses() {
     return addresses;
@@ -125,7 +142,7 @@
         peers,
         CLOUD,
         STATE,
-        TEAMS,
+        teams,
         Map.of(),
         HEARTBEAT_INTERVAL,
         SimulatedCluster.LEASE,
--- a/src/test/java/io/cherryspool/sim/cluster/SimulatedCluster.java
+++ b/src/test/java/io/cherryspool/sim/cluster/SimulatedCluster.java
@@ -3,6 +3,7 @@
 import io.cherryspool.config.RecoverySettings;
 import io.cherryspool.http.Endpoint;
 import io.cherryspool.model.Job;
+import io.cherryspool.model.Team;
 import io.cherryspool.reachability.VerdictRule;
 import io.cherryspool.sim.check.RuleChecker;
 import io.cherryspool.sim.fakes.FakeCloud;
@@ -75,7 +76,19 @@
     return random(seed, Optional.of(verdicts));
   }
 
+  /** A random cluster with small quotas, and no capacity in one zone but the first machines. */
+  public static SimulatedCluster shortOfRoom(long seed) {
+    SimulatedCluster cluster = random(seed, Optional.empty(), ClusterSettings.TIGHT_TEAMS);
+    cluster.cloud.closeZone(ZONES.get((int) (seed % ZONES.size())));
+    return cluster;
+  }
+
   private static SimulatedCluster random(long seed, Optional<VerdictRule> verdicts) {
+    return random(seed, verdicts, ClusterSettings.TEAMS);
+  }
+
+  private static SimulatedCluster random(
+      long seed, Optional<VerdictRule> verdicts, List<Team> teams) {
     SplittableRandom random = new SplittableRandom(seed);
     return new SimulatedCluster(
         random,
@@ -84,7 +97,8 @@
         STATE_WRITES_PER_S,
         RANDOM_FAILURE_SHARE,
         Optional.empty(),
-        verdicts);
+        verdicts,
+        teams);
   }
 
   /** So many controllers, and no fault but those that the test makes. */
@@ -101,7 +115,8 @@
         writeRate,
         0,
         Optional.empty(),
-        Optional.empty());
+        Optional.empty(),
+        ClusterSettings.TEAMS);
   }
 
   /** As {@link #of(long, int)}, with controllers that rebuild lost records. */
@@ -118,7 +133,8 @@
         STATE_WRITES_PER_S,
         0,
         Optional.of(recovery),
-        Optional.empty());
+        Optional.empty(),
+        ClusterSettings.TEAMS);
   }
 
   private SimulatedCluster(
@@ -128,13 +144,14 @@
       double writeRate,
       double failureShare,
       Optional<RecoverySettings> recovery,
-      Optional<VerdictRule> verdicts) {
+      Optional<VerdictRule> verdicts,
+      List<Team> teams) {
     this.random = random;
-    settings = new ClusterSettings(controllers, writeRate, recovery);
+    settings = new ClusterSettings(controllers, writeRate, recovery, teams);
     verdictRule = verdicts;
     // Each split of the random numbers must stay in its place, or all seeds play other runs.
     network = new SimulatedNetwork(time, random.split(), host -> zoneByHost.getOrDefault(host, ""));
-    rules = new RuleChecker(time, ClusterSettings.TEAMS, CANCEL_LIMIT);
+    rules = new RuleChecker(time, teams, CANCEL_LIMIT);
     state = new FakeStateStore(time, random.split(), unansweredShare);
     fleet =
         new SimulatedFleet(
--- /dev/null
+++ b/src/test/java/io/cherryspool/sim/driver/WaitingJobsDriver.java
@@ -0,0 +1,71 @@
+package io.cherryspool.sim.driver;
+
+import io.cherryspool.sim.cluster.RandomizedRun;
+import io.cherryspool.sim.cluster.SimulatedCluster;
+import io.cherryspool.sim.partition.RandomVerdicts;
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.stream.LongStream;
+
+/**
+ * Plays many seeds of the random runs and counts those that break a rule, by rule. A seed of itself
+ * proves little of a change of scheduling, since the change plays all later events of the run anew.
+ *
+ * <p>Arguments: {@code faults}, {@code verdicts} or {@code tight}, the first and the last seed. In
+ * {@code tight} runs quotas are small and one zone has no capacity, so that jobs bound to it may
+ * stay unserved: only the other rules say something there.
+ */
+public final class WaitingJobsDriver {
+  private static final double FAULTS_S = 300;
+  private static final double FAULTS_QUIET_S = 200;
+  private static final double VERDICTS_S = 240;
+  private static final double VERDICTS_QUIET_S = 260;
+
+  /** With small quotas the same work takes far longer. */
+  private static final double TIGHT_FAULTS_S = 160;
+
+  private static final double TIGHT_QUIET_S = 900;
+
+  private WaitingJobsDriver() {}
+
+  public static void main(String[] args) {
+    long first = Long.parseLong(args[1]);
+    long last = Long.parseLong(args[2]);
+    Map<Long, String> violations = new ConcurrentSkipListMap<>();
+    LongStream.rangeClosed(first, last)
+        .parallel()
+        .forEach(
+            seed -> {
+              try {
+                play(args[0], seed);
+              } catch (AssertionError violation) {
+                violations.put(seed, violation.getMessage());
+              }
+            });
+    Map<String, Integer> counts = new TreeMap<>();
+    violations.forEach(
+        (seed, message) -> {
+          System.out.println("seed " + seed + ": " + message);
+          counts.merge(message.substring(0, message.indexOf(':')), 1, Integer::sum);
+        });
+    System.out.println(args[0] + ", seeds " + first + " to " + last + ": " + counts);
+  }
+
+  private static void play(String kind, long seed) {
+    switch (kind) {
+      case "faults" -> new RandomizedRun(seed).run(FAULTS_S, FAULTS_QUIET_S);
+      case "verdicts" ->
+          new RandomizedRun(SimulatedCluster.withVerdicts(seed, verdicts(seed)))
+              .run(VERDICTS_S, VERDICTS_QUIET_S);
+      case "tight" ->
+          new RandomizedRun(SimulatedCluster.shortOfRoom(seed)).run(TIGHT_FAULTS_S, TIGHT_QUIET_S);
+      default -> throw new IllegalArgumentException(kind);
+    }
+  }
+
+  private static RandomVerdicts verdicts(long seed) {
+    return new RandomVerdicts(seed, Duration.ofSeconds((long) VERDICTS_S));
+  }
+}
--- a/src/test/java/io/cherryspool/sim/fakes/FakeCloud.java
+++ b/src/test/java/io/cherryspool/sim/fakes/FakeCloud.java
@@ -13,8 +13,10 @@
 import io.cherryspool.wire.MalformedMessageException;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -51,6 +53,7 @@
   private int machinesDeleted;
   private boolean down;
   private boolean fast;
+  private final Set<String> closedZones = new HashSet<>();
 
   /** An instance that the cloud has started, from the request on. */
   public static final class Machine {
@@ -126,6 +129,11 @@
     fast = value;
   }
 
+  /** Refuses all requests for instances in the zone from now on, for lack of capacity. */
+  public void closeZone(String zone) {
+    closedZones.add(zone);
+  }
+
   /** The machines that the cloud has up. */
   public List<Machine> up() {
     return machines.values().stream().filter(machine -> machine.up).toList();
@@ -198,7 +206,8 @@
     ArrayNode names = provided.get(name);
     if (names == null) {
       names = Json.array();
-      int wanted = body.path("how_many").intValue();
+      boolean isClosed = closedZones.contains(body.path("yard").asText());
+      int wanted = isClosed ? 0 : body.path("how_many").intValue();
       for (int i = 0; i < wanted && machines.size() < capacity; i++) {
         names.add(
             addMachine(
