Lend the quota of tasks without a machine to tasks that have one

Cause: Placement charged the team's quota with every task that it allowed, before it was known which found a machine. Tasks bound to a zone without room kept that charge in each round, so that later jobs of the team counted as over quota though nothing was in use. The trace shows it, and that neither reserved nor excluded machines, nor UnsatisfiableDemand, held the job.

Change: what lacks a machine is charged until preemption is known to make room for it or not. If not, the charge is lent: tasks that were over quota are tried again in the queue's order. A promoted task goes on keeping the quota of one task, but only where some machine could fall free for it. What runs on lent quota is marked and kept for the term (LentQuota), so that the lender goes on asking for machines; team use less what was lent plus what machines are asked for stays within the quota. Preemption at a team's quota now stops tasks only if the pending one has a machine or gets one, on whatever machine those are: else the urgent task and the one that borrows would stop each other's team by turns. TeamUsage adds and subtracts in one place: a merge with an absent key added a victim's use (not seen in a run: the views always hold the team).

--- a/src/main/java/io/cherryspool/controller/rounds/ClusterViewBuilder.java
+++ b/src/main/java/io/cherryspool/controller/rounds/ClusterViewBuilder.java
@@ -28,6 +28,7 @@
   private final JobViewCache jobViews;
   private final MachineViewCache machineViews;
   private final PlanningInputs inputs;
+  private final LentQuota lentQuota;
 
   ClusterViewBuilder(
       ClusterRecords records,
@@ -40,6 +41,12 @@
     this.jobViews = jobViews;
     this.machineViews = machineViews;
     this.inputs = inputs;
+    lentQuota = new LentQuota(records, pendingReleases);
+  }
+
+  /** The tasks that run on lent quota. */
+  LentQuota lentQuota() {
+    return lentQuota;
   }
 
   /** Whether the machine types are known, without which nothing can be planned. */
@@ -72,6 +79,7 @@
         machineViews.schedulableMachines(catalog, now),
         inputs.teams(),
         usageByTeam(),
+        lentQuota.usageByTeam(),
         teamsWithinGuarantee(),
         catalog,
         previouslyUnschedulable,
--- /dev/null
+++ b/src/main/java/io/cherryspool/controller/rounds/LentQuota.java
@@ -0,0 +1,58 @@
+package io.cherryspool.controller.rounds;
+
+import io.cherryspool.controller.release.PendingReleases;
+import io.cherryspool.model.Job;
+import io.cherryspool.model.Outcome;
+import io.cherryspool.model.Resources;
+import io.cherryspool.model.TaskId;
+import io.cherryspool.store.ClusterRecords;
+import io.cherryspool.store.JobRecord;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The tasks that run on quota which others without a machine have lent. It is memory of one term: a
+ * next leader counts the lent quota as used, until these tasks end.
+ *
+ * <p>Used on the event loop only.
+ */
+final class LentQuota {
+  private final ClusterRecords records;
+  private final PendingReleases pendingReleases;
+  private final Set<TaskId> tasks = new HashSet<>();
+
+  LentQuota(ClusterRecords records, PendingReleases pendingReleases) {
+    this.records = records;
+    this.pendingReleases = pendingReleases;
+  }
+
+  /** Counts the task among those that run on lent quota, from its commit to its end. */
+  void add(TaskId task) {
+    tasks.add(task);
+  }
+
+  /** What these tasks use, by team. Called while no round is being committed. */
+  Map<String, Resources> usageByTeam() {
+    Map<String, Resources> usage = new HashMap<>();
+    for (Iterator<TaskId> all = tasks.iterator(); all.hasNext(); ) {
+      TaskId task = all.next();
+      JobRecord record = records.job(task.jobId());
+      if (record == null || !isOwned(record, task)) {
+        all.remove();
+      } else {
+        Job job = record.job();
+        usage.merge(job.team(), job.perTask(), Resources::plus);
+      }
+    }
+    return usage;
+  }
+
+  private boolean isOwned(JobRecord job, TaskId task) {
+    return job.outcome() != Outcome.DONE
+        && job.shard(job.shardIndexOf(task.index())).shard().ownedAttempt(task.index()) != null
+        && !pendingReleases.ofJob(task.jobId()).containsKey(task.index());
+  }
+}
--- a/src/main/java/io/cherryspool/controller/rounds/RoundPlanner.java
+++ b/src/main/java/io/cherryspool/controller/rounds/RoundPlanner.java
@@ -116,6 +116,9 @@
           // The round's own token, to which the commit advances.
           state.tokens().current() + 1);
       machine.recordImage(job.job().image());
+      if (item.usesLentQuota()) {
+        views.lentQuota().add(new TaskId(item.jobId(), item.taskIndex()));
+      }
     }
     if (!lastPlan.victims().isEmpty()) {
       requestStops(lastPlan.victims());
--- a/src/main/java/io/cherryspool/scheduler/BinPool.java
+++ b/src/main/java/io/cherryspool/scheduler/BinPool.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The machines with free resources while a round's plan fills them, and their ranking for a job: a
@@ -37,6 +38,7 @@
   /** Bound on the slots of a job that are counted on one machine. */
   private static final int MAX_SLOTS = 1000;
 
+  private final ClusterView view;
   private final List<Bin> bins = new ArrayList<>();
   private final List<Bin> reserved = new ArrayList<>();
   private final Map<Demand, List<Bin>> rankings = new HashMap<>();
@@ -44,6 +46,7 @@
   private int examined;
 
   BinPool(ClusterView view) {
+    this.view = view;
     List<Job> jobs = view.previouslyUnschedulable();
     contendingJobs = jobs.subList(0, Math.min(MAX_CONTENDING_JOBS, jobs.size()));
     for (MachineView machine : view.machines()) {
@@ -198,6 +201,28 @@
     }
   }
 
+  /** Leaves the machines to others from now on. */
+  void reserve(Set<String> machines) {
+    for (Bin bin : bins) {
+      if (machines.contains(bin.machine().name())) {
+        bin.reserve();
+        reserved.add(bin);
+      }
+    }
+    bins.removeIf(Bin::isReserved);
+  }
+
+  /** Whether a task of the job fits on some machine once that is idle. */
+  boolean mayFallFree(Job job) {
+    for (MachineView machine : view.machines()) {
+      if (PlacementConstraints.allows(job, machine.type(), machine.zone(), machine.isSpot())
+          && !machine.excludedJobs().contains(job.id())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Whether a machine that is reserved for another job has room for a task of this one. */
   boolean hasReservedRoom(Job job) {
     return hasRoom(reserved, job);
--- a/src/main/java/io/cherryspool/scheduler/ClusterView.java
+++ b/src/main/java/io/cherryspool/scheduler/ClusterView.java
@@ -22,6 +22,8 @@
  *     those of all other jobs
  * @param teams the teams by name
  * @param usageByTeam the resources of all owned tasks by team; teams without any may be missing
+ * @param lentUsageByTeam the part of that use whose quota was lent by tasks without a machine, see
+ *     {@link RoundPlan.Assignment#usesLentQuota}; teams without any may be missing
  * @param teamsWithinGuarantee the names of the teams whose unfinished work all fits into their
  *     guaranteed quota
  * @param catalog the machine types
@@ -37,6 +39,7 @@
     List<MachineView> machines,
     Map<String, Team> teams,
     Map<String, Resources> usageByTeam,
+    Map<String, Resources> lentUsageByTeam,
     Set<String> teamsWithinGuarantee,
     List<MachineType> catalog,
     List<Job> previouslyUnschedulable,
--- a/src/main/java/io/cherryspool/scheduler/PreemptibleMachine.java
+++ b/src/main/java/io/cherryspool/scheduler/PreemptibleMachine.java
@@ -24,6 +24,7 @@
   private final MachineView machine;
   private final List<Candidate> candidates = new ArrayList<>(4);
   private Resources free;
+  private boolean hasStoppingTasks;
 
   /**
    * A running task that could be preempted. Rank and loss are computed once, since a machine may
@@ -103,8 +104,14 @@
     candidates.sort(LEAST_LOSS_FIRST);
   }
 
+  /** Whether any task here is being stopped. */
+  boolean hasStoppingTasks() {
+    return hasStoppingTasks;
+  }
+
   /** Counts a task that is being stopped as gone. */
   void addStopping(RunningTask task) {
+    hasStoppingTasks = true;
     free = free.plus(task.job().perTask());
   }
 
@@ -114,8 +121,8 @@
     addStopping(victim.task);
   }
 
-  /** Keeps free resources for a task of the job. */
-  void reserve(Job job) {
-    free = free.minus(job.perTask());
+  /** Keeps so much of the free resources for others. */
+  void reserve(Resources amount) {
+    free = free.minus(amount);
   }
 }
--- a/src/main/java/io/cherryspool/scheduler/Preemption.java
+++ b/src/main/java/io/cherryspool/scheduler/Preemption.java
@@ -10,10 +10,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Set;
 
 /**
  * Chooses the running tasks to preempt for pending ones.
@@ -28,50 +30,59 @@
   private static final int GRACE_MARGIN_SECONDS = 1;
 
   private final ClusterView view;
-  private final Map<String, Resources> usageByTeam;
+  private final TeamUsage usage;
   private final List<PreemptibleMachine> machines = new ArrayList<>();
+  private final Map<String, Job> jobs = new HashMap<>();
   private final List<RoundPlan.Victim> victims = new ArrayList<>();
+  private final Set<String> reservedMachines = new HashSet<>();
+
+  /** The machines on which tasks are being stopped; few, where nothing may be preempted. */
+  private final List<PreemptibleMachine> stoppingMachines = new ArrayList<>();
+
   private int lowestPriority = Integer.MAX_VALUE;
 
-  private Preemption(ClusterView view, List<RoundPlan.Assignment> assignments) {
+  /**
+   * Starts without victims.
+   *
+   * @param assignments the tasks that the round places
+   */
+  Preemption(ClusterView view, List<RoundPlan.Assignment> assignments) {
     this.view = view;
-    this.usageByTeam = new HashMap<>(view.usageByTeam());
-    Map<String, Resources> assignedByMachine = addAssignments(assignments);
+    this.usage = new TeamUsage(view.usageByTeam());
+    view.jobs().forEach(item -> jobs.put(item.job().id(), item.job()));
+    Map<String, Resources> assignedByMachine = addUsage(assignments);
     for (MachineView machine : view.machines()) {
       machines.add(
           preemptible(machine, assignedByMachine.getOrDefault(machine.name(), Resources.NONE)));
     }
   }
 
-  /**
-   * The victims for a round's pending tasks.
-   *
-   * @param unschedulable the tasks for which no machine has room
-   * @param overQuota the tasks that their teams' quotas do not allow
-   * @param assignments the tasks that the round places
-   */
-  static List<RoundPlan.Victim> plan(
-      ClusterView view,
-      List<RoundPlan.TaskGroup> unschedulable,
-      List<RoundPlan.TaskGroup> overQuota,
-      List<RoundPlan.Assignment> assignments) {
-    if (unschedulable.isEmpty() && overQuota.isEmpty()) {
-      return List.of();
-    }
-    Preemption preemption = new Preemption(view, assignments);
-    for (RoundPlan.TaskGroup group : unschedulable) {
-      preemption.freeMachinesFor(group);
+  /** The tasks to preempt, in the order in which they were chosen. */
+  List<RoundPlan.Victim> victims() {
+    return victims;
+  }
+
+  /** The names of the machines on which room is kept for tasks that others are stopped for. */
+  Set<String> reservedMachines() {
+    return reservedMachines;
+  }
+
+  /** Takes in more tasks that the round places. */
+  void addAssignments(List<RoundPlan.Assignment> assignments) {
+    if (assignments.isEmpty()) {
+      return;
     }
-    for (RoundPlan.TaskGroup group : overQuota) {
-      preemption.freeQuotaFor(group);
+    Map<String, Resources> assignedByMachine = addUsage(assignments);
+    for (PreemptibleMachine machine : machines) {
+      Resources assigned = assignedByMachine.get(machine.machine().name());
+      if (assigned != null) {
+        machine.reserve(assigned);
+      }
     }
-    return preemption.victims;
   }
 
   /** Adds the assigned tasks to their teams' usage, and returns what each machine is given. */
-  private Map<String, Resources> addAssignments(List<RoundPlan.Assignment> assignments) {
-    Map<String, Job> jobs = new HashMap<>();
-    view.jobs().forEach(item -> jobs.put(item.job().id(), item.job()));
+  private Map<String, Resources> addUsage(List<RoundPlan.Assignment> assignments) {
     Map<String, Resources> assignedByMachine = new HashMap<>();
     for (RoundPlan.Assignment assignment : assignments) {
       Job job = jobs.get(assignment.jobId());
@@ -94,15 +105,18 @@
       }
     }
     result.sortCandidates();
+    if (result.hasStoppingTasks()) {
+      stoppingMachines.add(result);
+    }
     return result;
   }
 
   private void addUsage(Job job) {
-    usageByTeam.merge(job.team(), job.perTask(), Resources::plus);
+    usage.add(job.team(), job.perTask());
   }
 
   private void subtractUsage(Job job) {
-    usageByTeam.merge(job.team(), job.perTask(), Resources::minus);
+    usage.subtract(job.team(), job.perTask());
   }
 
   private void preempt(PreemptibleMachine machine, Candidate victim) {
@@ -123,43 +137,69 @@
     }
   }
 
-  /** Preempts tasks for as many of the pending ones as possible, where that costs least. */
-  private void freeMachinesFor(RoundPlan.TaskGroup pending) {
-    Job job = pending.job();
-    if (!mayFreeMachinesFor(job)) {
-      return;
+  /**
+   * Preempts tasks for as many of the pending ones as possible, where that costs least.
+   *
+   * @param pending tasks within the team's quota, for which no machine has room
+   * @return for how many of them a machine will have room, once all is stopped that is to be
+   */
+  int freeMachinesFor(Job job, int pending) {
+    if (job.requiresSingleZone() || job.requiresZoneSpread()) {
+      return 0;
     }
-    PriorityQueue<Choice> choices =
+    PriorityQueue<Choice> choices = choices(job, mayPreemptFor(job) ? machines : stoppingMachines);
+    int left = pending;
+    while (left > 0) {
+      Optional<Choice> best = takeBest(choices, job);
+      if (best.isEmpty()) {
+        break;
+      }
+      makeRoom(best.get(), job);
+      offerChoice(choices, best.get().machine, job);
+      left--;
+    }
+    return pending - left;
+  }
+
+  /** What to preempt on each of the machines for one task of the job, the least loss first. */
+  private PriorityQueue<Choice> choices(Job job, List<PreemptibleMachine> among) {
+    PriorityQueue<Choice> result =
         new PriorityQueue<>(
             Comparator.comparingDouble(Choice::costCpuSeconds).thenComparing(Choice::machineName));
-    for (PreemptibleMachine machine : machines) {
+    for (PreemptibleMachine machine : among) {
       if (machine.isAllowedFor(job) && !machine.machine().excludedJobs().contains(job.id())) {
-        offerChoice(choices, machine, job);
+        offerChoice(result, machine, job);
       }
     }
-    int left = pending.taskCount();
-    while (left > 0 && !choices.isEmpty()) {
+    return result;
+  }
+
+  /** Removes the best choice that still holds; empty if there is none. */
+  private Optional<Choice> takeBest(PriorityQueue<Choice> choices, Job job) {
+    while (!choices.isEmpty()) {
       Choice best = choices.poll();
       // Since the choice was made, the excess over a guaranteed quota may have been preempted.
       Optional<List<Candidate>> current = findVictims(best.machine, job);
-      if (current.isEmpty()) {
-        continue;
+      if (current.isPresent() && current.get().equals(best.victims)) {
+        return Optional.of(best);
       }
-      if (current.get().equals(best.victims)) {
-        best.victims.forEach(victim -> preempt(best.machine, victim));
-        best.machine.reserve(job);
-        addUsage(job);
-        left--;
+      if (current.isPresent()) {
+        offerChoice(choices, best.machine, job);
       }
-      offerChoice(choices, best.machine, job);
     }
+    return Optional.empty();
+  }
+
+  /** Preempts what the choice says, and keeps the room for a task of the job. */
+  private void makeRoom(Choice choice, Job job) {
+    choice.victims.forEach(victim -> preempt(choice.machine, victim));
+    choice.machine.reserve(job.perTask());
+    reservedMachines.add(choice.machineName());
+    addUsage(job);
   }
 
-  /** Jobs with constraints on the zones of all their tasks together are left out. */
-  private boolean mayFreeMachinesFor(Job job) {
-    return !job.requiresSingleZone()
-        && !job.requiresZoneSpread()
-        && (job.priority().ordinal() > lowestPriority || isTeamWithinGuarantee(job));
+  private boolean mayPreemptFor(Job job) {
+    return job.priority().ordinal() > lowestPriority || isTeamWithinGuarantee(job);
   }
 
   private boolean isTeamWithinGuarantee(Job job) {
@@ -218,20 +258,18 @@
     }
     Team team = view.teams().get(otherTeam);
     Resources remaining =
-        usageByTeam
-            .getOrDefault(otherTeam, Resources.NONE)
-            .minus(chosenByTeam.getOrDefault(otherTeam, Resources.NONE));
+        usage.of(otherTeam).minus(chosenByTeam.getOrDefault(otherTeam, Resources.NONE));
     return team != null && !team.isWithinGuaranteedQuota(remaining);
   }
 
   private record QuotaVictim(PreemptibleMachine machine, Candidate candidate) {}
 
   /**
-   * Preempts the team's own work of lower priority where the team's quota alone keeps a job from
-   * running. Otherwise an urgent job would wait for its own team's long ones.
+   * Preempts the team's own work of lower priority where the team's quota keeps tasks from running
+   * that have a machine, or get one. Otherwise an urgent job would wait for its own team's long
+   * ones. Jobs with constraints on the zones of all their tasks together are left out.
    */
-  private void freeQuotaFor(RoundPlan.TaskGroup pending) {
-    Job job = pending.job();
+  void freeQuotaFor(Job job, int pending) {
     Team team = view.teams().get(job.team());
     if (team == null
         || job.requiresSingleZone()
@@ -239,37 +277,64 @@
         || job.priority().ordinal() <= lowestPriority) {
       return;
     }
-    PriorityQueue<QuotaVictim> choices = ownTeamVictims(job);
-    int left = pending.taskCount();
-    while (left > 0) {
-      Resources usage = usageByTeam.getOrDefault(job.team(), Resources.NONE).plus(job.perTask());
-      if (team.isWithinQuota(usage)) {
-        usageByTeam.put(job.team(), usage);
-        left--;
-      } else if (choices.isEmpty()) {
+    List<QuotaVictim> ownTasks = ownTeamVictims(job);
+    if (ownTasks.isEmpty()) {
+      return;
+    }
+    PriorityQueue<Choice> choices = choices(job, machines);
+    for (int left = pending; left > 0; left--) {
+      Optional<Choice> room = takeBest(choices, job);
+      if (room.isEmpty()) {
         return;
-      } else {
-        QuotaVictim victim = choices.poll();
-        preempt(victim.machine, victim.candidate);
       }
+      Optional<List<QuotaVictim>> victims = quotaVictims(room.get(), job, team, ownTasks);
+      if (victims.isEmpty()) {
+        return;
+      }
+      victims.get().forEach(victim -> preempt(victim.machine, victim.candidate));
+      ownTasks.removeAll(victims.get());
+      makeRoom(room.get(), job);
+      offerChoice(choices, room.get().machine, job);
     }
   }
 
-  /** The tasks of the job's team that may be preempted for it, on machines that it can use. */
-  private PriorityQueue<QuotaVictim> ownTeamVictims(Job job) {
-    PriorityQueue<QuotaVictim> result =
-        new PriorityQueue<>(
-            Comparator.comparing(QuotaVictim::candidate, PreemptibleMachine.LEAST_LOSS_FIRST));
-    for (PreemptibleMachine machine : machines) {
-      if (!machine.isAllowedFor(job)) {
-        continue;
+  /**
+   * Which of the team's own tasks to preempt beside those of the choice, so that the quota allows
+   * one of the job's; empty if it does not allow it without all of them.
+   */
+  private Optional<List<QuotaVictim>> quotaVictims(
+      Choice room, Job job, Team team, List<QuotaVictim> ownTasks) {
+    Resources needed = usage.of(job.team()).plus(job.perTask());
+    for (Candidate candidate : room.victims) {
+      if (candidate.job().team().equals(job.team())) {
+        needed = needed.minus(candidate.job().perTask());
       }
+    }
+    List<QuotaVictim> result = new ArrayList<>();
+    for (QuotaVictim victim : ownTasks) {
+      if (team.isWithinQuota(needed)) {
+        break;
+      }
+      if (!room.victims.contains(victim.candidate)
+          && victim.machine.candidates().contains(victim.candidate)) {
+        result.add(victim);
+        needed = needed.minus(victim.candidate.job().perTask());
+      }
+    }
+    return team.isWithinQuota(needed) ? Optional.of(result) : Optional.empty();
+  }
+
+  /** The tasks of the job's team that may be preempted for it, the least loss first. */
+  private List<QuotaVictim> ownTeamVictims(Job job) {
+    List<QuotaVictim> result = new ArrayList<>();
+    for (PreemptibleMachine machine : machines) {
       for (Candidate candidate : machine.candidates()) {
         if (candidate.isBelow(job) && candidate.job().team().equals(job.team())) {
           result.add(new QuotaVictim(machine, candidate));
         }
       }
     }
+    result.sort(Comparator.comparing(QuotaVictim::candidate, PreemptibleMachine.LEAST_LOSS_FIRST));
     return result;
   }
 
--- a/src/main/java/io/cherryspool/scheduler/RoundPlan.java
+++ b/src/main/java/io/cherryspool/scheduler/RoundPlan.java
@@ -33,8 +33,10 @@
    * A pending task placed on a machine.
    *
    * @param machine the machine's name
+   * @param usesLentQuota whether the task runs in place of one that comes before it in the queue
+   *     and lacks a machine
    */
-  public record Assignment(String jobId, int taskIndex, String machine) {}
+  public record Assignment(String jobId, int taskIndex, String machine, boolean usesLentQuota) {}
 
   /**
    * A running task to preempt.
--- a/src/test/java/io/cherryspool/scheduler/ClusterFixture.java
+++ b/src/test/java/io/cherryspool/scheduler/ClusterFixture.java
@@ -46,6 +46,7 @@
         machines,
         Map.of(team.name(), team),
         usageByTeam,
+        Map.of(),
         Set.of(),
         List.of(catalog),
         List.of(),
--- a/src/test/java/io/cherryspool/scheduler/HeldQuotaTest.java
+++ b/src/test/java/io/cherryspool/scheduler/HeldQuotaTest.java
@@ -2,6 +2,7 @@
 
 import static io.cherryspool.scheduler.ClusterFixture.notStarted;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.cherryspool.model.Job;
 import io.cherryspool.model.JobFixture;
@@ -14,9 +15,12 @@
 import io.cherryspool.scheduler.ClusterView.MachineView;
 import io.cherryspool.scheduler.ClusterView.RunningTask;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -42,6 +46,7 @@
   private static final Duration MAX_START_DELAY = Duration.ofSeconds(150);
   private static final int BEFORE_PROMOTION_S = 100;
   private static final int AFTER_PROMOTION_S = 200;
+  private static final int RANDOM_CLUSTERS = 400;
 
   /** A job that may run in one zone only. */
   private static Job boundTo(String zone, Job job) {
@@ -257,4 +262,147 @@
         List.of(new TaskId("req-000002", 0)),
         plan.victims().stream().map(RoundPlan.Victim::task).toList());
   }
+
+  /** Machines would be asked for in some rounds only, and the job might never get one. */
+  @Test
+  void aTaskWhoseQuotaWasLentStillAsksForMachines() {
+    Job bound = boundTo("b", job("req-000001", Priority.NORMAL, 6, 4));
+    Job borrower = job("req-000002", Priority.NORMAL, 6, 4);
+    Resources used = borrower.perTask().times(6);
+    ClusterView plain =
+        ClusterFixture.view(
+            BEFORE_PROMOTION_S,
+            MAX_START_DELAY,
+            List.of(notStarted(bound)),
+            List.of(idleMachine("m1", "a")),
+            new Team("red", 0, 24, 0, 0),
+            Map.of("red", used),
+            TYPE);
+    assertEquals(List.of(), Placement.plan(plain).unschedulable());
+    assertEquals(
+        List.of(new RoundPlan.TaskGroup(bound, 6)),
+        Placement.plan(withLentUsage(plain, used)).unschedulable());
+    assertEquals(
+        List.of(new RoundPlan.TaskGroup(bound, 2)),
+        Placement.plan(withLentUsage(plain, borrower.perTask().times(2))).unschedulable());
+  }
+
+  private static ClusterView withLentUsage(ClusterView view, Resources lent) {
+    return new ClusterView(
+        view.now(),
+        view.steadyNow(),
+        view.maxStartDelay(),
+        view.jobs(),
+        view.machines(),
+        view.teams(),
+        view.usageByTeam(),
+        Map.of("red", lent),
+        view.teamsWithinGuarantee(),
+        view.catalog(),
+        view.previouslyUnschedulable(),
+        view.deadlineMultiples());
+  }
+
+  /** What runs on lent quota is marked, and no more runs than the quota allows. */
+  @Test
+  void tasksOnLentQuotaAreMarked() {
+    Job bound = boundTo("b", job("req-000001", Priority.NORMAL, 4, 4));
+    Job free = job("req-000002", Priority.NORMAL, 9, 4);
+    RoundPlan plan =
+        plan(
+            BEFORE_PROMOTION_S,
+            List.of(notStarted(bound), notStarted(free)),
+            List.of(idleMachine("m1", "a"), idleMachine("m2", "a"), idleMachine("m3", "a")),
+            new Team("red", 0, 24, 0, 0),
+            Map.of());
+    assertEquals(6, placed(plan, free));
+    assertEquals(
+        4, plan.assignments().stream().filter(RoundPlan.Assignment::usesLentQuota).count());
+    assertEquals(List.of(new RoundPlan.TaskGroup(bound, 4)), plan.unschedulable());
+  }
+
+  /**
+   * Neither the team's use nor what machines are asked for exceeds the quota, whatever the plan.
+   */
+  @Test
+  void randomPlansKeepToTheQuota() {
+    int lentPlans = 0;
+    for (int seed = 0; seed < RANDOM_CLUSTERS; seed++) {
+      SplittableRandom random = new SplittableRandom(seed);
+      List<JobView> jobs = new ArrayList<>();
+      Map<String, Job> jobsById = new HashMap<>();
+      for (int i = 0; i < 8; i++) {
+        Job job = randomJob("req-00000" + i, random);
+        jobsById.put(job.id(), job);
+        jobs.add(notStarted(job));
+      }
+      Team team = new Team("red", 0, 20 + random.nextInt(40), 0, random.nextInt(6));
+      Resources owned = new Resources(random.nextInt(20), 0, 0);
+      Resources lent = new Resources(owned.cpus() * random.nextInt(2), 0, 0);
+      ClusterView view =
+          withLentUsage(
+              ClusterFixture.view(
+                  random.nextBoolean() ? BEFORE_PROMOTION_S : AFTER_PROMOTION_S,
+                  MAX_START_DELAY,
+                  jobs,
+                  List.of(idleMachine("m1", "a"), idleMachine("m2", "a"), idleMachine("m3", "a")),
+                  team,
+                  Map.of("red", owned),
+                  TYPE),
+              lent);
+      RoundPlan plan = Placement.plan(view);
+      Resources use = owned;
+      for (RoundPlan.Assignment item : plan.assignments()) {
+        use = use.plus(jobsById.get(item.jobId()).perTask());
+        lentPlans += item.usesLentQuota() ? 1 : 0;
+      }
+      assertTrue(team.isWithinQuota(use), "in use, seed " + seed);
+      Resources asked = owned.minus(lent);
+      for (RoundPlan.TaskGroup group : plan.unschedulable()) {
+        asked = asked.plus(group.job().perTask().times(group.taskCount()));
+      }
+      assertTrue(team.isWithinQuota(asked), "asked for, seed " + seed);
+    }
+    assertTrue(lentPlans > RANDOM_CLUSTERS, "tasks on lent quota: " + lentPlans);
+  }
+
+  private static Job randomJob(String id, SplittableRandom random) {
+    Job base = job(id, Priority.values()[1 + random.nextInt(3)], 1 + random.nextInt(9), 1);
+    Job sized = withResources(base, new Resources(1 + random.nextInt(6), random.nextInt(2), 1));
+    return random.nextBoolean() ? boundTo("b", sized) : sized;
+  }
+
+  /**
+   * An urgent job that no preemption helps must not have its team's other work stopped and started
+   * by turns.
+   */
+  @Test
+  void jobsDoNotPreemptEachOtherByTurns() {
+    Job urgent = boundTo("b", job("req-000001", Priority.HIGH, 1, 12));
+    Job normal = boundTo("b", job("req-000002", Priority.NORMAL, 1, 4));
+    Job other = job("req-000003", Priority.HIGH, 1, 12);
+    boolean isRunning = false;
+    int victims = 0;
+    for (int round = 0; round < 40; round++) {
+      List<RunningTask> runningTasks = new ArrayList<>(List.of(running(other, 0)));
+      List<JobView> waiting = new ArrayList<>(List.of(notStarted(urgent)));
+      if (isRunning) {
+        runningTasks.add(running(normal, 0));
+      } else {
+        waiting.add(notStarted(normal));
+      }
+      Resources used = other.perTask().plus(isRunning ? normal.perTask() : Resources.NONE);
+      RoundPlan plan =
+          plan(
+              BEFORE_PROMOTION_S,
+              waiting,
+              List.of(machine("m1", "b", TYPE.capacity().minus(used), runningTasks)),
+              new Team("red", 0, 26, 0, 0),
+              Map.of("red", used));
+      isRunning = (isRunning || placed(plan, normal) == 1) && plan.victims().isEmpty();
+      victims += plan.victims().size();
+    }
+    assertEquals(0, victims);
+    assertTrue(isRunning, "the normal task runs in the room that the urgent one can't use");
+  }
 }
--- a/src/test/java/io/cherryspool/sim/driver/WaitingJobsDriver.java
+++ b/src/test/java/io/cherryspool/sim/driver/WaitingJobsDriver.java
@@ -1,5 +1,6 @@
 package io.cherryspool.sim.driver;
 
+import io.cherryspool.model.Job;
 import io.cherryspool.sim.cluster.RandomizedRun;
 import io.cherryspool.sim.cluster.SimulatedCluster;
 import io.cherryspool.sim.partition.RandomVerdicts;
@@ -7,6 +8,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.LongStream;
 
 /**
@@ -18,6 +21,7 @@
  * stay unserved: only the other rules say something there.
  */
 public final class WaitingJobsDriver {
+  private static final Pattern JOB_ID = Pattern.compile("req-\\d{6}");
   private static final double FAULTS_S = 300;
   private static final double FAULTS_QUIET_S = 200;
   private static final double VERDICTS_S = 240;
@@ -38,10 +42,11 @@
         .parallel()
         .forEach(
             seed -> {
+              RandomizedRun run = newRun(args[0], seed);
               try {
-                play(args[0], seed);
+                play(args[0], run);
               } catch (AssertionError violation) {
-                violations.put(seed, violation.getMessage());
+                violations.put(seed, violation.getMessage() + describeJob(run, violation));
               }
             });
     Map<String, Integer> counts = new TreeMap<>();
@@ -53,16 +58,39 @@
     System.out.println(args[0] + ", seeds " + first + " to " + last + ": " + counts);
   }
 
-  private static void play(String kind, long seed) {
-    switch (kind) {
-      case "faults" -> new RandomizedRun(seed).run(FAULTS_S, FAULTS_QUIET_S);
-      case "verdicts" ->
-          new RandomizedRun(SimulatedCluster.withVerdicts(seed, verdicts(seed)))
-              .run(VERDICTS_S, VERDICTS_QUIET_S);
-      case "tight" ->
-          new RandomizedRun(SimulatedCluster.shortOfRoom(seed)).run(TIGHT_FAULTS_S, TIGHT_QUIET_S);
+  private static RandomizedRun newRun(String kind, long seed) {
+    return switch (kind) {
+      case "faults" -> new RandomizedRun(seed);
+      case "verdicts" -> new RandomizedRun(SimulatedCluster.withVerdicts(seed, verdicts(seed)));
+      case "tight" -> new RandomizedRun(SimulatedCluster.shortOfRoom(seed));
       default -> throw new IllegalArgumentException(kind);
+    };
+  }
+
+  private static void play(String kind, RandomizedRun run) {
+    switch (kind) {
+      case "faults" -> run.run(FAULTS_S, FAULTS_QUIET_S);
+      case "verdicts" -> run.run(VERDICTS_S, VERDICTS_QUIET_S);
+      default -> run.run(TIGHT_FAULTS_S, TIGHT_QUIET_S);
+    }
+  }
+
+  /** What the job that a violation names asks for; empty if it names none. */
+  private static String describeJob(RandomizedRun run, AssertionError violation) {
+    Matcher id = JOB_ID.matcher(violation.getMessage());
+    Job job = id.find() ? run.cluster().rules().job(id.group()) : null;
+    if (job == null) {
+      return "";
     }
+    return String.format(
+        " (%s, %d tasks of %.2f CPUs, zone %s, one zone %s, spread %s, spot %s)",
+        job.team(),
+        job.taskCount(),
+        job.perTask().cpus(),
+        job.requiredZone(),
+        job.requiresSingleZone(),
+        job.requiresZoneSpread(),
+        job.allowsSpot());
   }
 
   private static RandomVerdicts verdicts(long seed) {
