--- a/src/main/java/io/cherryspool/scheduler/Preemption.java
+++ b/src/main/java/io/cherryspool/scheduler/Preemption.java
@@ -277,7 +277,7 @@
         || job.priority().ordinal() <= lowestPriority) {
       return;
     }
-    List<QuotaVictim> ownTasks = ownTeamVictims(job);
+    PriorityQueue<QuotaVictim> ownTasks = ownTeamVictims(job);
     if (ownTasks.isEmpty()) {
       return;
     }
@@ -292,7 +292,6 @@
         return;
       }
       victims.get().forEach(victim -> preempt(victim.machine, victim.candidate));
-      ownTasks.removeAll(victims.get());
       makeRoom(room.get(), job);
       offerChoice(choices, room.get().machine, job);
     }
@@ -301,9 +300,11 @@
   /**
    * Which of the team's own tasks to preempt beside those of the choice, so that the quota allows
    * one of the job's; empty if it does not allow it without all of them.
+   *
+   * @param ownTasks the tasks to choose from, of which those that are taken are removed
    */
   private Optional<List<QuotaVictim>> quotaVictims(
-      Choice room, Job job, Team team, List<QuotaVictim> ownTasks) {
+      Choice room, Job job, Team team, PriorityQueue<QuotaVictim> ownTasks) {
     Resources needed = usage.of(job.team()).plus(job.perTask());
     for (Candidate candidate : room.victims) {
       if (candidate.job().team().equals(job.team())) {
@@ -311,10 +312,9 @@
       }
     }
     List<QuotaVictim> result = new ArrayList<>();
-    for (QuotaVictim victim : ownTasks) {
-      if (team.isWithinQuota(needed)) {
-        break;
-      }
+    while (!team.isWithinQuota(needed) && !ownTasks.isEmpty()) {
+      QuotaVictim victim = ownTasks.poll();
+      // Others of them may have been preempted for room meanwhile.
       if (!room.victims.contains(victim.candidate)
           && victim.machine.candidates().contains(victim.candidate)) {
         result.add(victim);
@@ -325,8 +325,10 @@
   }
 
   /** The tasks of the job's team that may be preempted for it, the least loss first. */
-  private List<QuotaVictim> ownTeamVictims(Job job) {
-    List<QuotaVictim> result = new ArrayList<>();
+  private PriorityQueue<QuotaVictim> ownTeamVictims(Job job) {
+    PriorityQueue<QuotaVictim> result =
+        new PriorityQueue<>(
+            Comparator.comparing(QuotaVictim::candidate, PreemptibleMachine.LEAST_LOSS_FIRST));
     for (PreemptibleMachine machine : machines) {
       for (Candidate candidate : machine.candidates()) {
         if (candidate.isBelow(job) && candidate.job().team().equals(job.team())) {
@@ -334,7 +336,6 @@
         }
       }
     }
-    result.sort(Comparator.comparing(QuotaVictim::candidate, PreemptibleMachine.LEAST_LOSS_FIRST));
     return result;
   }
 
