--- a/src/test/java/io/cherryspool/controller/rounds/MachineViewCacheTest.java
+++ b/src/test/java/io/cherryspool/controller/rounds/MachineViewCacheTest.java
@@ -62,6 +62,13 @@
         "host-1", "10.0.0.1:1", "box", "a", true, 1, sequence, tokens.current(), null, List.of());
   }
 
+  /** The machine's heartbeat comes and is answered. */
+  private void report(long sequence, Duration now) {
+    WorkerHeartbeat heartbeat = heartbeat(sequence);
+    fleet.accept(heartbeat, now);
+    fleet.get("host-1").contact().recordReply(heartbeat, tokens.current(), now);
+  }
+
   private ClusterView.MachineView only(MachineType type) {
     return only(type, NOW);
   }
@@ -94,17 +101,17 @@
   @Test
   void aFailureKeepsAJobFromAMachineForLessThanUsersWait() {
     MachineType type = box(0.1);
-    fleet.accept(heartbeat(1), NOW);
+    report(1, NOW);
     MachineState machine = fleet.get("host-1");
     machine.history().recordJobFailure("req-000001", NOW);
     machine.invalidateView();
     assertEquals(Set.of("req-000001"), only(type).excludedJobs());
     Duration secondFailure = NOW.plusSeconds(50);
-    fleet.accept(heartbeat(2), secondFailure);
+    report(2, secondFailure);
     machine.history().recordJobFailure("req-000001", secondFailure);
     machine.invalidateView();
     Duration beforeUsersComplain = NOW.plus(USERS_WAIT).minus(TIME_TO_PLACE);
-    fleet.accept(heartbeat(3), beforeUsersComplain);
+    report(3, beforeUsersComplain);
     assertEquals(Set.of(), only(type, beforeUsersComplain).excludedJobs());
     machine.history().recordJobFailure("req-000001", beforeUsersComplain);
     machine.invalidateView();
