Let a job back on a machine 60 s after its first failure there

Symptom: a large job waits for 90 s and more beside machines with room, cause excluded-machine in the log of rounds. Cause: each failed task kept its whole job from the machine for two more minutes from then on. Change: the exclusion lasts 60 s from the first failure, and a failure during it does not make it longer. A machine on which tasks of several jobs fail in a row is given up as before.

--- a/src/main/java/io/cherryspool/controller/fleet/MachineState.java
+++ b/src/main/java/io/cherryspool/controller/fleet/MachineState.java
@@ -143,8 +143,8 @@
   }
 
   /** Lets jobs whose tasks last failed here longer ago be placed here again. */
-  public void removeFailedJobs(Duration olderThan, Duration now) {
-    if (history.removeFailedJobs(olderThan, now)) {
+  public void removeExpiredExclusions(Duration now) {
+    if (history.removeExpiredExclusions(now)) {
       view = null;
     }
   }
--- a/src/main/java/io/cherryspool/controller/fleet/PlacementHistory.java
+++ b/src/main/java/io/cherryspool/controller/fleet/PlacementHistory.java
@@ -18,6 +18,13 @@
   /** A machine on which so many tasks in a row failed is not used again. */
   private static final int FAULTY_AFTER_FAILURES = 3;
 
+  /**
+   * So long after the first of its failures here a job may be placed here again. It must be well
+   * below the time that a job may wait beside a machine with room, and a later failure does not
+   * make it longer: of a large job some task fails now and then on each machine.
+   */
+  private static final Duration JOB_EXCLUSION = Duration.ofSeconds(60);
+
   /** Images that are taken to be cached on the machine. */
   private static final int MAX_IMAGES = 16;
 
@@ -26,7 +33,9 @@
   /** The oldest first. */
   private final Set<String> images = new LinkedHashSet<>();
 
+  /** When the exclusion of each job began. */
   private final Map<String, Duration> failedJobs = new HashMap<>();
+
   private int failuresInARow;
 
   /** Records which tasks the machine has and when those that run were first seen running. */
@@ -71,16 +80,19 @@
 
   /** Records that a task of the job failed or was refused here. */
   public void recordJobFailure(String job, Duration now) {
-    failedJobs.put(job, now);
+    failedJobs.merge(job, now, (since, latest) -> isOver(since, now) ? latest : since);
+  }
+
+  /** Drops the jobs that may be placed here again; returns whether there were any. */
+  boolean removeExpiredExclusions(Duration now) {
+    return !failedJobs.isEmpty() && failedJobs.values().removeIf(since -> isOver(since, now));
   }
 
-  /** Drops the jobs whose tasks last failed here longer ago; returns whether there were any. */
-  boolean removeFailedJobs(Duration olderThan, Duration now) {
-    return !failedJobs.isEmpty()
-        && failedJobs.values().removeIf(at -> now.minus(at).compareTo(olderThan) > 0);
+  private static boolean isOver(Duration since, Duration now) {
+    return now.minus(since).compareTo(JOB_EXCLUSION) > 0;
   }
 
-  /** The jobs whose tasks failed here, as a copy. */
+  /** The jobs that must not be placed here since tasks of theirs failed here, as a copy. */
   public Set<String> failedJobs() {
     return Set.copyOf(failedJobs.keySet());
   }
--- a/src/main/java/io/cherryspool/controller/rounds/MachineViewCache.java
+++ b/src/main/java/io/cherryspool/controller/rounds/MachineViewCache.java
@@ -22,9 +22,6 @@
  * <p>Used on the event loop only.
  */
 final class MachineViewCache {
-  /** For so long a job whose task failed on a machine is not placed there again. */
-  private static final Duration FAILED_JOB_EXCLUSION = Duration.ofMinutes(2);
-
   private final FencingTokenSource tokens;
   private final Fleet fleet;
   private final TaskTracking tasks;
@@ -69,7 +66,7 @@
       if (type == null || !isSchedulable(machine, now)) {
         continue;
       }
-      machine.removeFailedJobs(FAILED_JOB_EXCLUSION, now);
+      machine.removeExpiredExclusions(now);
       result.add(view(machine, type));
     }
     return result;
