Suspend eviction and placing while a leader hands leadership over

Symptom (by reading): a machine whose patience ends in the call's time between the verdict to hand over and the end of the term is deleted, with its tasks, for the leader's own silence. Cause: Reachability allowed placing and eviction in all zones under every verdict that did not name a suspension, and the one to hand over names none. Change: while it holds, nothing is placed, the fleet is not changed, and eviction is suspended in all zones. The successor judges the machines by its own links.

--- a/src/main/java/io/cherryspool/reachability/Reachability.java
+++ b/src/main/java/io/cherryspool/reachability/Reachability.java
@@ -138,12 +138,18 @@
 
   /** Whether a leader may plan and record, and call the cloud. */
   public boolean mayPlaceTasks() {
-    return !(verdict instanceof Verdict.SuspendPlacement);
+    return !(verdict instanceof Verdict.SuspendPlacement) && !isHandingOver();
+  }
+
+  /** Whether this node's term is about to end for the sake of its links to workers. */
+  private boolean isHandingOver() {
+    return verdict instanceof Verdict.HandOverLeadership;
   }
 
   /** Whether the machines of this zone are unreachable rather than dead. */
   public boolean isZoneEvictionSuspended(String zone) {
     return verdict instanceof Verdict.SuspendFleetChanges
+        || isHandingOver()
         || (verdict instanceof Verdict.SuspendZoneEviction suspended
             && suspended.zones().contains(zone));
   }
--- a/src/main/java/io/cherryspool/reachability/Verdict.java
+++ b/src/main/java/io/cherryspool/reachability/Verdict.java
@@ -81,7 +81,8 @@
   }
 
   /**
-   * A leader ends its term in favour of another node.
+   * A leader ends its term in favour of another node. Until it has ended, nothing is placed, and no
+   * machine is taken for dead: its silence is rather this leader's fault.
    *
    * @param successor the name of that node, {@link #ANY_NODE} if it is not known which
    */
