Divide preemption and the tests of quotas into smaller classes

QuotaVictims and PreemptionChoice come out of Preemption; the tests keep their cases and checks in HeldQuotaTest, QuotaPreemptionTest and LentQuotaTest.

--- a/src/main/java/io/cherryspool/scheduler/Preemption.java
+++ b/src/main/java/io/cherryspool/scheduler/Preemption.java
@@ -8,7 +8,6 @@
 import io.cherryspool.scheduler.PreemptibleMachine.Candidate;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -125,18 +124,6 @@
     subtractUsage(victim.job());
   }
 
-  /**
-   * What to preempt on a machine for one task.
-   *
-   * @param costCpuSeconds the CPU seconds that the victims lose and the image fetch takes
-   */
-  private record Choice(
-      PreemptibleMachine machine, List<Candidate> victims, double costCpuSeconds) {
-    String machineName() {
-      return machine.machine().name();
-    }
-  }
-
   /**
    * Preempts tasks for as many of the pending ones as possible, where that costs least.
    *
@@ -147,25 +134,24 @@
     if (job.requiresSingleZone() || job.requiresZoneSpread()) {
       return 0;
     }
-    PriorityQueue<Choice> choices = choices(job, mayPreemptFor(job) ? machines : stoppingMachines);
+    PriorityQueue<PreemptionChoice> choices =
+        choices(job, mayPreemptFor(job) ? machines : stoppingMachines);
     int left = pending;
     while (left > 0) {
-      Optional<Choice> best = takeBest(choices, job);
+      Optional<PreemptionChoice> best = takeBest(choices, job);
       if (best.isEmpty()) {
         break;
       }
       makeRoom(best.get(), job);
-      offerChoice(choices, best.get().machine, job);
+      offerChoice(choices, best.get().machine(), job);
       left--;
     }
     return pending - left;
   }
 
   /** What to preempt on each of the machines for one task of the job, the least loss first. */
-  private PriorityQueue<Choice> choices(Job job, List<PreemptibleMachine> among) {
-    PriorityQueue<Choice> result =
-        new PriorityQueue<>(
-            Comparator.comparingDouble(Choice::costCpuSeconds).thenComparing(Choice::machineName));
+  private PriorityQueue<PreemptionChoice> choices(Job job, List<PreemptibleMachine> among) {
+    PriorityQueue<PreemptionChoice> result = new PriorityQueue<>(PreemptionChoice.CHEAPEST_FIRST);
     for (PreemptibleMachine machine : among) {
       if (machine.isAllowedFor(job) && !machine.machine().excludedJobs().contains(job.id())) {
         offerChoice(result, machine, job);
@@ -175,25 +161,25 @@
   }
 
   /** Removes the best choice that still holds; empty if there is none. */
-  private Optional<Choice> takeBest(PriorityQueue<Choice> choices, Job job) {
+  private Optional<PreemptionChoice> takeBest(PriorityQueue<PreemptionChoice> choices, Job job) {
     while (!choices.isEmpty()) {
-      Choice best = choices.poll();
+      PreemptionChoice best = choices.poll();
       // Since the choice was made, the excess over a guaranteed quota may have been preempted.
-      Optional<List<Candidate>> current = findVictims(best.machine, job);
-      if (current.isPresent() && current.get().equals(best.victims)) {
+      Optional<List<Candidate>> current = findVictims(best.machine(), job);
+      if (current.isPresent() && current.get().equals(best.victims())) {
         return Optional.of(best);
       }
       if (current.isPresent()) {
-        offerChoice(choices, best.machine, job);
+        offerChoice(choices, best.machine(), job);
       }
     }
     return Optional.empty();
   }
 
   /** Preempts what the choice says, and keeps the room for a task of the job. */
-  private void makeRoom(Choice choice, Job job) {
-    choice.victims.forEach(victim -> preempt(choice.machine, victim));
-    choice.machine.reserve(job.perTask());
+  private void makeRoom(PreemptionChoice choice, Job job) {
+    choice.victims().forEach(victim -> preempt(choice.machine(), victim));
+    choice.machine().reserve(job.perTask());
     reservedMachines.add(choice.machineName());
     addUsage(job);
   }
@@ -206,23 +192,10 @@
     return view.teamsWithinGuarantee().contains(job.team());
   }
 
-  private void offerChoice(PriorityQueue<Choice> choices, PreemptibleMachine machine, Job job) {
-    Optional<List<Candidate>> found = findVictims(machine, job);
-    if (found.isPresent()) {
-      double cost = fetchCpuSeconds(machine.machine(), job);
-      for (Candidate victim : found.get()) {
-        cost += victim.lossCpuSeconds();
-      }
-      choices.add(new Choice(machine, found.get(), cost));
-    }
-  }
-
-  /** CPU seconds that a task would wait for its image, which may take far longer than its run. */
-  private static double fetchCpuSeconds(MachineView machine, Job job) {
-    if (machine.cachedImages().contains(job.image())) {
-      return 0;
-    }
-    return 1 + machine.type().fetchSeconds(job.imageGb()) * job.perTask().cpus();
+  private void offerChoice(
+      PriorityQueue<PreemptionChoice> choices, PreemptibleMachine machine, Job job) {
+    findVictims(machine, job)
+        .ifPresent(found -> choices.add(PreemptionChoice.of(machine, found, job)));
   }
 
   /** The tasks to preempt so that one of the job's fits; empty if no preemption achieves that. */
@@ -262,8 +235,6 @@
     return team != null && !team.isWithinGuaranteedQuota(remaining);
   }
 
-  private record QuotaVictim(PreemptibleMachine machine, Candidate candidate) {}
-
   /**
    * Preempts the team's own work of lower priority where the team's quota keeps tasks from running
    * that have a machine, or get one. Otherwise an urgent job would wait for its own team's long
@@ -277,68 +248,28 @@
         || job.priority().ordinal() <= lowestPriority) {
       return;
     }
-    PriorityQueue<QuotaVictim> ownTasks = ownTeamVictims(job);
+    QuotaVictims ownTasks = new QuotaVictims(job, machines);
     if (ownTasks.isEmpty()) {
       return;
     }
-    PriorityQueue<Choice> choices = choices(job, machines);
+    PriorityQueue<PreemptionChoice> choices = choices(job, machines);
     for (int left = pending; left > 0; left--) {
-      Optional<Choice> room = takeBest(choices, job);
+      Optional<PreemptionChoice> room = takeBest(choices, job);
       if (room.isEmpty()) {
         return;
       }
-      Optional<List<QuotaVictim>> victims = quotaVictims(room.get(), job, team, ownTasks);
-      if (victims.isEmpty()) {
+      Resources needed =
+          usage.of(job.team()).plus(job.perTask()).minus(room.get().usageOf(job.team()));
+      Optional<List<QuotaVictims.Victim>> found = ownTasks.take(team, needed, room.get().victims());
+      if (found.isEmpty()) {
         return;
       }
-      victims.get().forEach(victim -> preempt(victim.machine, victim.candidate));
+      found.get().forEach(victim -> preempt(victim.machine(), victim.candidate()));
       makeRoom(room.get(), job);
-      offerChoice(choices, room.get().machine, job);
+      offerChoice(choices, room.get().machine(), job);
     }
   }
 
-  /**
-   * Which of the team's own tasks to preempt beside those of the choice, so that the quota allows
-   * one of the job's; empty if it does not allow it without all of them.
-   *
-   * @param ownTasks the tasks to choose from, of which those that are taken are removed
-   */
-  private Optional<List<QuotaVictim>> quotaVictims(
-      Choice room, Job job, Team team, PriorityQueue<QuotaVictim> ownTasks) {
-    Resources needed = usage.of(job.team()).plus(job.perTask());
-    for (Candidate candidate : room.victims) {
-      if (candidate.job().team().equals(job.team())) {
-        needed = needed.minus(candidate.job().perTask());
-      }
-    }
-    List<QuotaVictim> result = new ArrayList<>();
-    while (!team.isWithinQuota(needed) && !ownTasks.isEmpty()) {
-      QuotaVictim victim = ownTasks.poll();
-      // Others of them may have been preempted for room meanwhile.
-      if (!room.victims.contains(victim.candidate)
-          && victim.machine.candidates().contains(victim.candidate)) {
-        result.add(victim);
-        needed = needed.minus(victim.candidate.job().perTask());
-      }
-    }
-    return team.isWithinQuota(needed) ? Optional.of(result) : Optional.empty();
-  }
-
-  /** The tasks of the job's team that may be preempted for it, the least loss first. */
-  private PriorityQueue<QuotaVictim> ownTeamVictims(Job job) {
-    PriorityQueue<QuotaVictim> result =
-        new PriorityQueue<>(
-            Comparator.comparing(QuotaVictim::candidate, PreemptibleMachine.LEAST_LOSS_FIRST));
-    for (PreemptibleMachine machine : machines) {
-      for (Candidate candidate : machine.candidates()) {
-        if (candidate.isBelow(job) && candidate.job().team().equals(job.team())) {
-          result.add(new QuotaVictim(machine, candidate));
-        }
-      }
-    }
-    return result;
-  }
-
   private static Duration gracePeriod(Job job) {
     return job.checkpointInterval().isZero()
         ? Duration.ZERO
--- a/src/test/java/io/cherryspool/sim/cluster/SimulatedCluster.java
+++ b/src/test/java/io/cherryspool/sim/cluster/SimulatedCluster.java
@@ -92,13 +92,10 @@
     SplittableRandom random = new SplittableRandom(seed);
     return new SimulatedCluster(
         random,
-        3 + random.nextInt(3),
+        new ClusterSettings(3 + random.nextInt(3), STATE_WRITES_PER_S, Optional.empty(), teams),
         RANDOM_UNANSWERED_SHARE,
-        STATE_WRITES_PER_S,
         RANDOM_FAILURE_SHARE,
-        Optional.empty(),
-        verdicts,
-        teams);
+        verdicts);
   }
 
   /** So many controllers, and no fault but those that the test makes. */
@@ -110,13 +107,10 @@
   public static SimulatedCluster of(long seed, int controllers, double writeRate) {
     return new SimulatedCluster(
         new SplittableRandom(seed),
-        controllers,
+        new ClusterSettings(controllers, writeRate, Optional.empty(), ClusterSettings.TEAMS),
         0,
-        writeRate,
         0,
-        Optional.empty(),
-        Optional.empty(),
-        ClusterSettings.TEAMS);
+        Optional.empty());
   }
 
   /** As {@link #of(long, int)}, with controllers that rebuild lost records. */
@@ -128,30 +122,25 @@
   public static SimulatedCluster recovering(long seed, int controllers, RecoverySettings recovery) {
     return new SimulatedCluster(
         new SplittableRandom(seed),
-        controllers,
+        new ClusterSettings(
+            controllers, STATE_WRITES_PER_S, Optional.of(recovery), ClusterSettings.TEAMS),
         0,
-        STATE_WRITES_PER_S,
         0,
-        Optional.of(recovery),
-        Optional.empty(),
-        ClusterSettings.TEAMS);
+        Optional.empty());
   }
 
   private SimulatedCluster(
       SplittableRandom random,
-      int controllers,
+      ClusterSettings settings,
       double unansweredShare,
-      double writeRate,
       double failureShare,
-      Optional<RecoverySettings> recovery,
-      Optional<VerdictRule> verdicts,
-      List<Team> teams) {
+      Optional<VerdictRule> verdicts) {
     this.random = random;
-    settings = new ClusterSettings(controllers, writeRate, recovery, teams);
+    this.settings = settings;
     verdictRule = verdicts;
     // Each split of the random numbers must stay in its place, or all seeds play other runs.
     network = new SimulatedNetwork(time, random.split(), host -> zoneByHost.getOrDefault(host, ""));
-    rules = new RuleChecker(time, teams, CANCEL_LIMIT);
+    rules = new RuleChecker(time, settings.teams(), CANCEL_LIMIT);
     state = new FakeStateStore(time, random.split(), unansweredShare);
     fleet =
         new SimulatedFleet(
@@ -170,10 +159,10 @@
             FakeCloud.NETWORK,
             this::boot,
             fleet::end);
-    state.limitWriteRate(writeRate);
+    state.limitWriteRate(settings.stateWritesPerS());
     network.listen(ClusterSettings.STATE, state);
     network.listen(ClusterSettings.CLOUD, cloud);
-    for (int i = 0; i < controllers; i++) {
+    for (int i = 0; i < settings.addresses().size(); i++) {
       addController(i);
     }
     users =
