--- a/src/test/java/io/cherryspool/scheduler/PreemptionTest.java
+++ b/src/test/java/io/cherryspool/scheduler/PreemptionTest.java
@@ -15,6 +15,7 @@
 import io.cherryspool.scheduler.ClusterView.MachineView;
 import io.cherryspool.scheduler.ClusterView.RunningTask;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -130,4 +131,56 @@
         plan.victims().stream().map(RoundPlan.Victim::task).toList(),
         "one victim frees quota for the other two");
   }
+
+  /**
+   * A task that is being stopped was added to its team's use, where the view named no use of the
+   * team, and so made the team look as if it had borrowed. Found by reading; the program's own
+   * views name the use of each team whose tasks they show.
+   */
+  @Test
+  void aTaskThatIsBeingStoppedNeverAddsToItsTeamsUse() {
+    Job blue = ofTeam("blue", job("req-000001", Priority.HIGH, 2, 4));
+    RunningTask stopping =
+        new RunningTask(new TaskId(blue.id(), 0), blue, Duration.ZERO, /* isStopping= */ true);
+    MachineView machine =
+        machine("m", TYPE, new Resources(8, 0, 32), List.of(stopping, running(blue, 1, 10)));
+    Job red = job("req-000002", Priority.NORMAL, 1, 16);
+    ClusterView view =
+        new ClusterView(
+            Instant.EPOCH.plusSeconds(NOW_SECONDS),
+            Duration.ofSeconds(NOW_SECONDS),
+            Duration.ofMinutes(2),
+            List.of(notStarted(red)),
+            List.of(machine),
+            Map.of("red", new Team("red", 16, 0, 0, 0), "blue", new Team("blue", 3, 0, 0, 0)),
+            Map.of(),
+            Map.of(),
+            Set.of("red"),
+            List.of(TYPE),
+            List.of(),
+            Map.of());
+    assertEquals(List.of(), Placement.plan(view).victims());
+  }
+
+  private static Job ofTeam(String team, Job job) {
+    return new Job(
+        job.id(),
+        job.jobClass(),
+        team,
+        job.priority(),
+        job.taskCount(),
+        job.perTask(),
+        job.image(),
+        job.imageGb(),
+        null,
+        null,
+        false,
+        false,
+        true,
+        job.estimatedRunTime(),
+        Duration.ZERO,
+        Duration.ZERO,
+        null,
+        job.submittedAt());
+  }
 }
--- a/src/test/java/io/cherryspool/scheduler/ScalingPlanTest.java
+++ b/src/test/java/io/cherryspool/scheduler/ScalingPlanTest.java
@@ -152,4 +152,27 @@
                 Set.of()));
     assertEquals(isDeleted ? List.of("host-1") : List.of(), decision.scaleIn());
   }
+
+  /**
+   * A job that fits no machine type, accepted before the types were known or when there were
+   * others, once made instances be requested for tasks that run well where they are. Found by
+   * reading.
+   */
+  @Test
+  void aJobThatFitsNoMachineTypeMovesNoOthers() {
+    Job impossible = JobFixture.job("req-000002", Priority.NORMAL, 1, 100);
+    Job running = JobFixture.job("req-000003", Priority.NORMAL, 4, 1);
+    FleetView view =
+        new FleetView(
+            Instant.EPOCH,
+            List.of(new RoundPlan.TaskGroup(impossible, 1)),
+            List.of(new RoundPlan.TaskGroup(running, 4)),
+            List.of(),
+            List.of(new ActiveMachine("host-1", LARGE_SPOT, 4, null)),
+            List.of(new JobDemand(impossible, 0, 0, 3000), new JobDemand(running, 4, 0, 0)),
+            List.of(SMALL, LARGE),
+            Set.of(),
+            IDLE_TIMEOUT);
+    assertEquals(Map.of(), ScalingPlan.decide(view).scaleOut());
+  }
 }
