Request no instances for tasks beside a job that fits no machine type

Symptom (by reading): instances are requested for relocatable tasks, which run well where they are. Cause: contendedTypes said that some job lacks an offering also where no type suits that job; its set of types was then empty, so that no type was left to others. Change: a job that no type suits counts as none. ScalingPlanTest.aJobThatFitsNoMachineTypeMovesNoOthers was red.

--- a/src/main/java/io/cherryspool/scheduler/ScaleOutPlanner.java
+++ b/src/main/java/io/cherryspool/scheduler/ScaleOutPlanner.java
@@ -103,17 +103,15 @@
 
   /**
    * The machine types that unschedulable jobs without an available offering could use; empty if
-   * there is no such job. A job that no type of the catalog suits adds none.
+   * there is no such job. A job that no type of the catalog suits is none: no instance helps it.
    */
   private Optional<Set<MachineType>> contendedTypes() {
     Set<MachineType> result = new LinkedHashSet<>();
-    boolean isAnyJobWithoutOffering = false;
     for (RoundPlan.TaskGroup group : view.unschedulable()) {
       Job job = group.job();
       MachineSelector selector = demand.selectorOf(job);
       if (fleet.cheapestOffering(job, Set.of()).isEmpty()
           && demand.demandOn(selector).cpus(1) > fleet.cpus(selector, demand)) {
-        isAnyJobWithoutOffering = true;
         for (MachineType type : view.catalog()) {
           if (job.allowsType(type)) {
             result.add(type);
@@ -121,7 +119,7 @@
         }
       }
     }
-    return isAnyJobWithoutOffering ? Optional.of(result) : Optional.empty();
+    return result.isEmpty() ? Optional.empty() : Optional.of(result);
   }
 
   /**
