Keep a job on a machine where its tasks complete, though one fails

Cause: one failed task kept the whole job from the machine, although others of it had just completed there. Change: the first failure after a success of the job on the machine excludes nothing, the second in a row does; a success ends an exclusion. A machine on which no task of the job completed excludes it at once, as before.

--- a/src/main/java/io/cherryspool/controller/fleet/PlacementHistory.java
+++ b/src/main/java/io/cherryspool/controller/fleet/PlacementHistory.java
@@ -25,6 +25,9 @@
    */
   private static final Duration JOB_EXCLUSION = Duration.ofSeconds(60);
 
+  /** Jobs of which it is remembered that a task completed here. */
+  private static final int MAX_SUCCEEDED_JOBS = 32;
+
   /** Images that are taken to be cached on the machine. */
   private static final int MAX_IMAGES = 16;
 
@@ -36,6 +39,9 @@
   /** When the exclusion of each job began. */
   private final Map<String, Duration> failedJobs = new HashMap<>();
 
+  /** Jobs of which a task completed here and none has failed since, the oldest first. */
+  private final Set<String> succeededJobs = new LinkedHashSet<>();
+
   private int failuresInARow;
 
   /** Records which tasks the machine has and when those that run were first seen running. */
@@ -78,8 +84,14 @@
     return Set.copyOf(images);
   }
 
-  /** Records that a task of the job failed or was refused here. */
+  /**
+   * Records that a task of the job failed or was refused here. The first failure after a success
+   * says nothing of the machine: of a job of many tasks one fails now and then anywhere.
+   */
   public void recordJobFailure(String job, Duration now) {
+    if (succeededJobs.remove(job)) {
+      return;
+    }
     failedJobs.merge(job, now, (since, latest) -> isOver(since, now) ? latest : since);
   }
 
@@ -102,9 +114,15 @@
     failuresInARow++;
   }
 
-  /** Records that a task completed here, which ends a row of failures. */
-  public void recordSuccess() {
+  /** Records that a task of the job completed here, which ends a row of failures. */
+  public void recordSuccess(String job) {
     failuresInARow = 0;
+    failedJobs.remove(job);
+    succeededJobs.remove(job);
+    succeededJobs.add(job);
+    if (succeededJobs.size() > MAX_SUCCEEDED_JOBS) {
+      succeededJobs.remove(succeededJobs.iterator().next());
+    }
   }
 
   /** Whether so many tasks in a row failed here that the machine is taken for a faulty one. */
--- a/src/main/java/io/cherryspool/controller/rounds/TerminationCollector.java
+++ b/src/main/java/io/cherryspool/controller/rounds/TerminationCollector.java
@@ -144,7 +144,7 @@
     Job job = owned.entry().job();
     tasks.backoff().reset(job.id());
     if (machine != null) {
-      machine.history().recordSuccess();
+      machine.history().recordSuccess(job.id());
       Optional<Duration> since = machine.history().runningSince(owned.id());
       if (since.isPresent()) {
         state.demand().recordRunTime(job, now.minus(since.get()));
