--- a/src/test/java/io/cherryspool/sim/partition/RandomVerdictsTest.java
+++ b/src/test/java/io/cherryspool/sim/partition/RandomVerdictsTest.java
@@ -2,11 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.cherryspool.KnownRedTest;
 import io.cherryspool.sim.cluster.RandomizedRun;
 import io.cherryspool.sim.cluster.SimulatedCluster;
 import java.time.Duration;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -33,9 +31,15 @@
     play(seed);
   }
 
-  /** A job is left waiting while a zone idles; see KNOWN-RED.txt. */
+  /**
+   * A job once was left waiting for 90 s while nine of eleven machines were idle and its team used
+   * 10 of its 96 CPUs: tasks of its team without a machine, bound to other zones, held the quota.
+   * The rounds' log said {@code job=req-000060 placed=0 over-quota=4 unschedulable=0} beside {@code
+   * job=req-000058 unschedulable=6 cause=no-machine}. The traced plan in small is in {@code
+   * HeldQuotaTest}, the story in docs/incidents/held-quota.md; since the mend this seed plays other
+   * events.
+   */
   @Test
-  @Tag(KnownRedTest.TAG)
   void aJobWaitsWhileAZoneIdles() {
     play(9);
   }
