--- a/src/test/java/io/cherryspool/model/JobFixture.java
+++ b/src/test/java/io/cherryspool/model/JobFixture.java
@@ -29,4 +29,68 @@
         null,
         Instant.EPOCH);
   }
+
+  /** A copy of a job in which some components may be changed before it is made. */
+  public static final class Copy {
+    private final Job source;
+    private String team;
+    private Resources perTask;
+    private String requiredZone;
+    private boolean requiresSingleZone;
+
+    private Copy(Job source) {
+      this.source = source;
+      team = source.team();
+      perTask = source.perTask();
+      requiredZone = source.requiredZone();
+      requiresSingleZone = source.requiresSingleZone();
+    }
+
+    public Copy ofTeam(String value) {
+      team = value;
+      return this;
+    }
+
+    public Copy withResources(Resources value) {
+      perTask = value;
+      return this;
+    }
+
+    public Copy boundTo(String zone) {
+      requiredZone = zone;
+      return this;
+    }
+
+    public Copy inSingleZone() {
+      requiresSingleZone = true;
+      return this;
+    }
+
+    public Job build() {
+      return new Job(
+          source.id(),
+          source.jobClass(),
+          team,
+          source.priority(),
+          source.taskCount(),
+          perTask,
+          source.image(),
+          source.imageGb(),
+          source.allowedTypes(),
+          requiredZone,
+          requiresSingleZone,
+          source.requiresZoneSpread(),
+          source.allowsSpot(),
+          source.estimatedRunTime(),
+          source.checkpointInterval(),
+          source.checkpointDuration(),
+          source.deadline(),
+          source.submittedAt());
+    }
+  }
+
+  /** A copy of the job. */
+  public static Copy copyOf(Job job) {
+    return new Copy(job);
+  }
 }
--- a/src/test/java/io/cherryspool/scheduler/HoldCauseTest.java
+++ b/src/test/java/io/cherryspool/scheduler/HoldCauseTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.cherryspool.model.Job;
+import io.cherryspool.model.JobFixture;
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Priority;
 import io.cherryspool.model.Resources;
@@ -103,27 +104,8 @@
 
   @Test
   void theZoneOfTheOtherTasks() {
-    Job base = job("req-000001", Priority.NORMAL, 4, 4);
     Job sameZone =
-        new Job(
-            base.id(),
-            base.jobClass(),
-            base.team(),
-            base.priority(),
-            base.taskCount(),
-            base.perTask(),
-            base.image(),
-            base.imageGb(),
-            null,
-            null,
-            true,
-            false,
-            true,
-            base.estimatedRunTime(),
-            Duration.ZERO,
-            Duration.ZERO,
-            null,
-            base.submittedAt());
+        JobFixture.copyOf(job("req-000001", Priority.NORMAL, 4, 4)).inSingleZone().build();
     assertEquals(
         Map.of(HoldCause.ZONE_CONSTRAINT, 2),
         heldTasks(
--- a/src/test/java/io/cherryspool/scheduler/PreemptionTest.java
+++ b/src/test/java/io/cherryspool/scheduler/PreemptionTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.cherryspool.model.Job;
+import io.cherryspool.model.JobFixture;
 import io.cherryspool.model.MachineType;
 import io.cherryspool.model.Priority;
 import io.cherryspool.model.Resources;
@@ -139,7 +140,7 @@
    */
   @Test
   void aTaskThatIsBeingStoppedNeverAddsToItsTeamsUse() {
-    Job blue = ofTeam("blue", job("req-000001", Priority.HIGH, 2, 4));
+    Job blue = JobFixture.copyOf(job("req-000001", Priority.HIGH, 2, 4)).ofTeam("blue").build();
     RunningTask stopping =
         new RunningTask(new TaskId(blue.id(), 0), blue, Duration.ZERO, /* isStopping= */ true);
     MachineView machine =
@@ -161,26 +162,4 @@
             Map.of());
     assertEquals(List.of(), Placement.plan(view).victims());
   }
-
-  private static Job ofTeam(String team, Job job) {
-    return new Job(
-        job.id(),
-        job.jobClass(),
-        team,
-        job.priority(),
-        job.taskCount(),
-        job.perTask(),
-        job.image(),
-        job.imageGb(),
-        null,
-        null,
-        false,
-        false,
-        true,
-        job.estimatedRunTime(),
-        Duration.ZERO,
-        Duration.ZERO,
-        null,
-        job.submittedAt());
-  }
 }
--- a/src/test/java/io/cherryspool/scheduler/QuotaFixture.java
+++ b/src/test/java/io/cherryspool/scheduler/QuotaFixture.java
@@ -34,25 +34,7 @@
 
   /** A job that may run in one zone only. */
   static Job boundTo(String zone, Job job) {
-    return new Job(
-        job.id(),
-        job.jobClass(),
-        job.team(),
-        job.priority(),
-        job.taskCount(),
-        job.perTask(),
-        job.image(),
-        job.imageGb(),
-        null,
-        zone,
-        false,
-        false,
-        true,
-        job.estimatedRunTime(),
-        Duration.ZERO,
-        Duration.ZERO,
-        null,
-        job.submittedAt());
+    return JobFixture.copyOf(job).boundTo(zone).build();
   }
 
   static Job job(String id, Priority priority, int tasks, double cpus) {
@@ -87,25 +69,7 @@
   }
 
   static Job withResources(Job job, Resources perTask) {
-    return new Job(
-        job.id(),
-        job.jobClass(),
-        job.team(),
-        job.priority(),
-        job.taskCount(),
-        perTask,
-        job.image(),
-        job.imageGb(),
-        null,
-        job.requiredZone(),
-        false,
-        false,
-        true,
-        job.estimatedRunTime(),
-        Duration.ZERO,
-        Duration.ZERO,
-        null,
-        job.submittedAt());
+    return JobFixture.copyOf(job).withResources(perTask).build();
   }
 
   static ClusterView withLentUsage(ClusterView view, Resources lent) {
