--- a/src/test/java/io/cherryspool/sim/faults/RandomFaultsTest.java
+++ b/src/test/java/io/cherryspool/sim/faults/RandomFaultsTest.java
@@ -2,7 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.cherryspool.KnownRedTest;
 import io.cherryspool.sim.cluster.RandomizedRun;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -24,6 +27,22 @@
         1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24
       })
   void rulesHoldAndWorkIsFinished(long seed) {
+    play(seed);
+  }
+
+  /**
+   * A job is left waiting for 90 s while a machine of its zone has room for it; see KNOWN-RED.txt.
+   * Its tasks are placed there and preempted by turns: {@code preempting tasks: job=req-000115,
+   * count=1}, then {@code round: job=req-000115 placed=0 over-quota=0 unschedulable=1
+   * cause=reserved-machine}, then {@code placed=1}, and so on.
+   */
+  @Test
+  @Tag(KnownRedTest.TAG)
+  void aJobWaitsBesideAReservedMachine() {
+    play(1091);
+  }
+
+  private static void play(long seed) {
     RandomizedRun run = new RandomizedRun(seed);
     run.run(300, 200);
     assertTrue(
