--- a/review/standins/review/Worker.java
+++ b/review/standins/review/Worker.java
@@ -59,7 +59,7 @@
     }
 
     boolean isOnMachine() {
-      return status.equals("running");
+      return status.equals("running") || status.equals("saving");
     }
   }
 
@@ -167,6 +167,8 @@
         world.onStart(this, attempt.piece, attempt.number);
       } else if (attempt.status.equals("running") && now >= attempt.until) {
         end(attempt, "done");
+      } else if (attempt.status.equals("saving") && now >= attempt.until) {
+        end(attempt, "stopped");
       }
     }
   }
@@ -328,7 +330,7 @@
       if (verb.equals("launch") && attempt == null) {
         launch(key, piece, number);
       } else if (verb.equals("halt") && attempt != null && attempt.cause == null) {
-        end(attempt, "stopped");
+        halt(attempt, order.path("leeway_s").doubleValue());
       } else if (verb.equals("forget") && attempt != null && attempt.cause != null) {
         attempts.remove(key);
         isChanged = true;
@@ -336,6 +338,17 @@
     }
   }
 
+  private void halt(Attempt attempt, double leeway) {
+    boolean saves = attempt.job.bookmarkS() > 0 && leeway >= attempt.job.stashS();
+    if (attempt.status.equals("running") && saves) {
+      attempt.status = "saving";
+      attempt.until = Record.now() + attempt.job.stashS();
+      isChanged = true;
+    } else if (!attempt.status.equals("saving") || leeway == 0) {
+      end(attempt, "stopped");
+    }
+  }
+
   private void launch(String key, String piece, long number) {
     World.JobInfo job = world.job(piece.substring(0, piece.indexOf('/')));
     Attempt attempt = new Attempt(piece, number, job);
--- a/review/standins/review/World.java
+++ b/review/standins/review/World.java
@@ -64,7 +64,9 @@
   record MachineType(String name, double cpus, double memoryGb, double price, double bootS) {}
 
   /** What users upload of a job for the workers, and how long its tasks run. */
-  record JobInfo(String id, double cpus, String bundle, ToDoubleFunction<String> runTime) {
+  record JobInfo(
+      String id, double cpus, String bundle, double bookmarkS, double stashS,
+      ToDoubleFunction<String> runTime) {
     double runSeconds(String piece) {
       return runTime.applyAsDouble(piece);
     }
@@ -360,7 +362,10 @@
   void submit(int node, ObjectNode job, ToDoubleFunction<String> runTime) throws Exception {
     String id = job.path("ref").asText();
     jobs.put(
-        id, new JobInfo(id, job.path("vcpus").doubleValue(), job.path("bundle").asText(), runTime));
+        id,
+        new JobInfo(
+            id, job.path("vcpus").doubleValue(), job.path("bundle").asText(),
+            job.path("bookmark_s").doubleValue(), job.path("stash_s").doubleValue(), runTime));
     for (int i = 0; i < 30; i++) {
       Http.Answer answer = Http.call("POST", nodeAddress(node), "/api/jobs", job, 5000);
       record.line("POST /api/jobs to %s: %s -> %s", nodeName(node), job, answer.text());
