Show which proof released a lost task

The line at info now counts the proofs, cherryspool_tasks_lost_total counts them by proof, and a line at debug names, for a machine whose lease is taken as expired, the latest renewal that was assumed and the times on which that rests: the last reply, the first message with a token of the term, the last message. The bound moves into LeaseRenewalBound unchanged, also for the reconciliation after a loss of state, which repeated its sum. No decision changes.

--- a/src/main/java/io/cherryspool/controller/fleet/MachineContact.java
+++ b/src/main/java/io/cherryspool/controller/fleet/MachineContact.java
@@ -1,5 +1,6 @@
 package io.cherryspool.controller.fleet;
 
+import io.cherryspool.model.FencingToken;
 import io.cherryspool.model.TaskId;
 import io.cherryspool.model.WorkerHeartbeat;
 import io.cherryspool.reachability.ContactState;
@@ -36,6 +37,12 @@
    */
   private Duration epochFirstSeenAt;
 
+  /** The term of the highest fencing token that the worker has shown. */
+  private long acknowledgedTerm;
+
+  /** When this leader received the first message with a token of {@link #acknowledgedTerm}. */
+  private Duration termAcknowledgedAt;
+
   private Duration lastReplyAt;
 
   /**
@@ -60,6 +67,7 @@
     if (latestHeartbeat == null || heartbeat.agentEpoch() > latestHeartbeat.agentEpoch()) {
       epochFirstSeenAt = now;
     }
+    recordTerm(FencingToken.term(heartbeat.highestFencingToken()), now);
     latestHeartbeat = heartbeat;
     lastHeartbeatAt = now;
     isUnresponsive = false;
@@ -70,6 +78,13 @@
     return true;
   }
 
+  private void recordTerm(long term, Duration now) {
+    if (term > acknowledgedTerm) {
+      acknowledgedTerm = term;
+      termAcknowledgedAt = now;
+    }
+  }
+
   /**
    * Records that this heartbeat is answered under the token, and returns true. Returns false
    * without recording anything if the heartbeat is a late copy of one that was answered before: the
@@ -133,6 +148,16 @@
     return latestHeartbeat != null && latestHeartbeat.highestFencingToken() > token;
   }
 
+  /**
+   * Returns when this leader first received a message that shows a token of the term, empty if none
+   * has. The worker had accepted the token by then, possibly much earlier.
+   *
+   * @param term the term of this leader, the highest of which a worker can have a token
+   */
+  public Optional<Duration> termAcknowledgedAt(long term) {
+    return acknowledgedTerm == term ? Optional.of(termAcknowledgedAt) : Optional.empty();
+  }
+
   /** Returns the number of consecutive replies that the worker has shown no sign of receiving. */
   public int ignoredReplies() {
     return ignoredReplies;
--- a/src/main/java/io/cherryspool/controller/leader/FailoverReconciliation.java
+++ b/src/main/java/io/cherryspool/controller/leader/FailoverReconciliation.java
@@ -75,7 +75,7 @@
   void checkAdoptionComplete() {
     Duration now = loop.now();
     Duration leasesExpiredAt =
-        termStart.plus(timings.maxLeaderAuthority()).plus(timings.workerLeaseExpiry());
+        state.evidence().renewalBound().endOfEarlierAuthority().plus(timings.workerLeaseExpiry());
     Duration listCompleteAt = termStart.plus(Durations.multiply(listLag, 2));
     boolean areLeasesExpired = now.compareTo(leasesExpiredAt) > 0;
     boolean isAllKnown =
--- a/src/main/java/io/cherryspool/controller/metrics/Meters.java
+++ b/src/main/java/io/cherryspool/controller/metrics/Meters.java
@@ -20,6 +20,9 @@
    */
   public final EventCounter lostTasks = new EventCounter();
 
+  /** The lost tasks by the proof of their loss. */
+  public final LostTasks lostTasksByProof = new LostTasks();
+
   /** Tasks that failed by themselves. */
   public final EventCounter taskFailures = new EventCounter();
 
@@ -43,6 +46,7 @@
     committedRounds.bindTo(registry, "cherryspool.rounds");
     plannedRounds.bindTo(registry, "cherryspool.rounds.planned");
     lostTasks.bindTo(registry, "cherryspool.lapses");
+    lostTasksByProof.bindTo(registry);
     taskFailures.bindTo(registry, "cherryspool.failures");
     preemptions.bindTo(registry, "cherryspool.stops");
     heldTasks.bindTo(registry);
--- a/src/main/java/io/cherryspool/controller/ownership/FencingTokenSource.java
+++ b/src/main/java/io/cherryspool/controller/ownership/FencingTokenSource.java
@@ -15,6 +15,11 @@
     this.term = term;
   }
 
+  /** Returns the term of the tokens. */
+  public long term() {
+    return term;
+  }
+
   /** Returns a value below every token of this term and above every token of earlier terms. */
   public long termBase() {
     return FencingToken.of(term, 0);
--- a/src/main/java/io/cherryspool/controller/release/TerminationEvidence.java
+++ b/src/main/java/io/cherryspool/controller/release/TerminationEvidence.java
@@ -6,6 +6,7 @@
 import io.cherryspool.controller.ownership.StopRequests;
 import io.cherryspool.controller.timing.Timings;
 import io.cherryspool.model.Attempt;
+import io.cherryspool.model.LossProof;
 import io.cherryspool.model.WorkerCommand;
 import io.cherryspool.model.WorkerHeartbeat;
 import java.time.Duration;
@@ -30,7 +31,7 @@
   private final Timings timings;
   private final FencingTokenSource tokens;
   private final StopRequests stopRequests;
-  private final Duration termStart;
+  private final LeaseRenewalBound renewalBound;
 
   /**
    * Creates the termination evidence of a term.
@@ -42,7 +43,7 @@
     this.timings = timings;
     this.tokens = tokens;
     this.stopRequests = stopRequests;
-    this.termStart = termStart;
+    this.renewalBound = new LeaseRenewalBound(timings, tokens, termStart);
   }
 
   /** What is proved about an attempt. */
@@ -74,13 +75,13 @@
    */
   public Assessment assess(Ownership.OwnedTask owned, MachineState machine, Duration now) {
     if (machine == null) {
-      return assessLease(termStart.plus(timings.maxLeaderAuthority()), now);
+      return assessLease(renewalBound.endOfEarlierAuthority(), now);
     }
     if (machine.isDeleted()) {
       return Assessment.LOST;
     }
     if (machine.hasHeartbeat()) {
-      if (machine.latestHeartbeat().agentEpoch() > owned.attempt().agentEpoch()) {
+      if (isInLaterEpoch(owned, machine)) {
         return Assessment.LOST;
       }
       Assessment reported = assessHeartbeat(owned, machine);
@@ -88,7 +89,31 @@
         return reported;
       }
     }
-    return assessLease(latestPossibleRenewal(machine), now);
+    return assessLease(renewalBound.latestRenewal(machine).at(), now);
+  }
+
+  /**
+   * Returns the proof of the loss of an attempt that was assessed as {@link Assessment#LOST}.
+   *
+   * @param machine the machine that the attempt was assigned to, null if this leader does not know
+   *     it
+   */
+  public static LossProof lossProof(Ownership.OwnedTask owned, MachineState machine) {
+    if (machine != null && machine.isDeleted()) {
+      return LossProof.MACHINE_DELETED;
+    }
+    return machine != null && machine.hasHeartbeat() && isInLaterEpoch(owned, machine)
+        ? LossProof.LATER_AGENT_EPOCH
+        : LossProof.LEASE_EXPIRED;
+  }
+
+  /** Returns the bound on the renewals of workers' leases on which the proof by expiry depends. */
+  public LeaseRenewalBound renewalBound() {
+    return renewalBound;
+  }
+
+  private static boolean isInLaterEpoch(Ownership.OwnedTask owned, MachineState machine) {
+    return machine.latestHeartbeat().agentEpoch() > owned.attempt().agentEpoch();
   }
 
   private Assessment assessHeartbeat(Ownership.OwnedTask owned, MachineState machine) {
@@ -134,18 +159,6 @@
     return Assessment.ENDED;
   }
 
-  /**
-   * Returns the latest time at which this leader or an earlier one may have renewed the worker's
-   * lease.
-   */
-  private Duration latestPossibleRenewal(MachineState machine) {
-    Duration renewedAt = machine.contact().lastLeaseRenewalAt();
-    Duration byThisLeader = renewedAt == null ? termStart : renewedAt;
-    boolean isFenced = machine.contact().hasTokenAbove(tokens.termBase());
-    Duration byEarlierLeader = isFenced ? termStart : termStart.plus(timings.maxLeaderAuthority());
-    return byThisLeader.compareTo(byEarlierLeader) > 0 ? byThisLeader : byEarlierLeader;
-  }
-
   private Assessment assessLease(Duration renewedAt, Duration now) {
     return now.minus(renewedAt).compareTo(timings.workerLeaseExpiry()) > 0
         ? Assessment.LOST
--- a/src/main/java/io/cherryspool/controller/rounds/TerminationCollector.java
+++ b/src/main/java/io/cherryspool/controller/rounds/TerminationCollector.java
@@ -6,6 +6,7 @@
 import io.cherryspool.controller.release.PendingReleases;
 import io.cherryspool.controller.release.TerminationEvidence;
 import io.cherryspool.model.Job;
+import io.cherryspool.model.LossProof;
 import io.cherryspool.store.JobRecord;
 import java.time.Duration;
 import java.util.LinkedHashSet;
@@ -96,8 +97,7 @@
    */
   void collect(Duration now) {
     boolean needsFencing = false;
-    int lost = 0;
-    Set<String> lostMachines = new LinkedHashSet<>();
+    LossReport losses = new LossReport(state);
     List<String> names = List.copyOf(machinesToExamine);
     machinesToExamine.clear();
     for (String name : names) {
@@ -113,17 +113,14 @@
         } else if (assessment != TerminationEvidence.Assessment.OWNED) {
           addRelease(owned, machine, assessment, now);
           if (assessment == TerminationEvidence.Assessment.LOST) {
-            lost++;
-            lostMachines.add(name);
+            LossProof proof = TerminationEvidence.lossProof(owned, machine);
+            meters.lostTasksByProof.increment(proof);
+            losses.add(owned, machine, proof);
           }
         }
       }
     }
-    if (lost > 0) {
-      // One log line for all, since thousands of tasks may be lost in a round while processor time
-      // is scarce.
-      LOG.info("tasks lost with their machines: count={}, machines={}", lost, lostMachines);
-    }
+    losses.log();
     if (needsFencing) {
       state.tokens().advance();
     }
