Simulate direct commands that arrive late

The protocol lets a command arrive seconds to minutes late, without an answer, and the simulated network had no such message: cuts held back everything between two hosts. CommandDelays delays the commands to chosen hosts only.

--- a/src/test/java/io/cherryspool/sim/network/SimulatedNetwork.java
+++ b/src/test/java/io/cherryspool/sim/network/SimulatedNetwork.java
@@ -25,13 +25,11 @@
  * Simulates the network between hosts, with random latency and a few lost replies. A cut between
  * hosts or around a zone holds messages until it ends, even beyond the sender's timeout. A host may
  * receive nothing while its own messages arrive, or accept connections but open none. Worker
- * heartbeats may arrive again later, or be replayed. Each of the {@link #linkFaults} is one-way.
+ * heartbeats may arrive again later, or be replayed, and direct commands may arrive late. Each of
+ * the {@link #linkFaults} is one-way.
  */
 public final class SimulatedNetwork {
   private static final double LOST_REPLY_PROBABILITY = 0.002;
-  private static final double DUPLICATE_PROBABILITY = 0.02;
-  private static final int MAX_DUPLICATE_DELAY_MS = 70_000;
-  private static final int MAX_RECORDED_HEARTBEATS = 200;
 
   private final VirtualTime time;
   private final RandomGenerator random;
@@ -43,10 +41,9 @@
   private final Set<String> rejectedDirections = new HashSet<>();
   private final Set<String> cutZones = new HashSet<>();
   private final LinkFaults linkFaults;
-  private final List<Request> recordedHeartbeats = new ArrayList<>();
+  private final HeartbeatCopies heartbeatCopies;
+  private final CommandDelays commandDelays = new CommandDelays();
   private int maxExtraDelayMs;
-  private boolean isDuplicating;
-  private boolean isRecording;
   private final Map<String, List<Runnable>> heldMessages = new HashMap<>();
 
   /** The request handler that listens at an address, and the inbox of its process. */
@@ -57,6 +54,7 @@
     this.time = time;
     this.linkFaults = new LinkFaults(time);
     this.random = random;
+    this.heartbeatCopies = new HeartbeatCopies(time, random, this::redeliver);
     this.zoneOf = zoneOf;
   }
 
@@ -78,6 +76,11 @@
     return linkFaults;
   }
 
+  /** Returns the delays of direct commands to workers. */
+  public CommandDelays commandDelays() {
+    return commandDelays;
+  }
+
   /** Holds the messages between the two hosts for the given duration. */
   public void cut(String a, String b, Duration duration) {
     String pair = pairKey(a, b);
@@ -159,27 +162,22 @@
 
   /** Sets whether some heartbeats arrive again up to 70 s later, which is longer than a lease. */
   public void setDuplicatingHeartbeats(boolean value) {
-    isDuplicating = value;
+    heartbeatCopies.setDuplicating(value);
   }
 
   /** Starts to record worker heartbeats, up to a limit, for {@link #replayHeartbeats}. */
   public void recordHeartbeats() {
-    isRecording = true;
+    heartbeatCopies.startRecording();
   }
 
   /** Delivers the recorded heartbeats to each of the controllers immediately, without latency. */
   public void replayHeartbeats(Iterable<Endpoint> controllers) {
-    for (Endpoint each : controllers) {
-      for (Request request : List.copyOf(recordedHeartbeats)) {
-        redeliver(each, request);
-      }
-    }
+    heartbeatCopies.replay(controllers);
   }
 
   /** Stops recording and discards the recorded heartbeats. */
   public void discardRecordedHeartbeats() {
-    recordedHeartbeats.clear();
-    isRecording = false;
+    heartbeatCopies.discardRecorded();
   }
 
   private void redeliver(Endpoint to, Request request) {
@@ -189,17 +187,6 @@
     }
   }
 
-  private void recordOrDuplicateHeartbeat(Endpoint to, Request request) {
-    boolean isHeartbeat = request.path().equals("/v1/report");
-    if (isRecording && isHeartbeat && recordedHeartbeats.size() < MAX_RECORDED_HEARTBEATS) {
-      recordedHeartbeats.add(request);
-    }
-    if (isDuplicating && isHeartbeat && random.nextDouble() < DUPLICATE_PROBABILITY) {
-      time.schedule(
-          Duration.ofMillis(random.nextInt(MAX_DUPLICATE_DELAY_MS)), () -> redeliver(to, request));
-    }
-  }
-
   /** Returns the transport of a process on the host; replies arrive through its inbox. */
   public Transport transportFrom(String host, ProcessInbox inbox) {
     return (to, request, deadline) -> {
@@ -208,7 +195,12 @@
       if (hostsWithoutOutbound.contains(host)) {
         return result;
       }
-      recordOrDuplicateHeartbeat(to, request);
+      Optional<Duration> commandDelay = commandDelays.delayOf(to.host(), request);
+      if (commandDelay.isPresent()) {
+        time.schedule(commandDelay.get(), () -> redeliver(to, request));
+        return result;
+      }
+      heartbeatCopies.recordOrDuplicate(to, request);
       if (isReset(host, to.host())) {
         send(host, host, () -> fail(result, inbox, "connection reset by " + to));
         return result;
