Wait out leases that an earlier leader renewed before the new term was known

Cause: once a machine had shown any token of the new term, LeaseRenewalBound took all renewals by earlier leaders to have ended at the start of the term. The worker drops the earlier leader's replies only from the moment at which it accepts such a token. If the first commands arrive late, that is seconds into the term, and until then the earlier leader may renew the lease, within its authority.

Why this fix works: what counts is the last heartbeat that an earlier leader can have answered with effect.

--- a/src/main/java/io/cherryspool/controller/fleet/MachineContact.java
+++ b/src/main/java/io/cherryspool/controller/fleet/MachineContact.java
@@ -43,6 +43,9 @@
   /** When this leader received the first message with a token of {@link #acknowledgedTerm}. */
   private Duration termAcknowledgedAt;
 
+  /** See {@link #earlierTermsEndedBy}. */
+  private Duration earlierTermsEndedBy;
+
   private Duration lastReplyAt;
 
   /**
@@ -67,7 +70,7 @@
     if (latestHeartbeat == null || heartbeat.agentEpoch() > latestHeartbeat.agentEpoch()) {
       epochFirstSeenAt = now;
     }
-    recordTerm(FencingToken.term(heartbeat.highestFencingToken()), now);
+    recordTerm(heartbeat, now);
     latestHeartbeat = heartbeat;
     lastHeartbeatAt = now;
     isUnresponsive = false;
@@ -78,13 +81,23 @@
     return true;
   }
 
-  private void recordTerm(long term, Duration now) {
+  /** Must be called before the heartbeat becomes the newest one. */
+  private void recordTerm(WorkerHeartbeat heartbeat, Duration now) {
+    long term = FencingToken.term(heartbeat.highestFencingToken());
     if (term > acknowledgedTerm) {
       acknowledgedTerm = term;
       termAcknowledgedAt = now;
+      earlierTermsEndedBy = isNextAfterNewest(heartbeat) ? lastHeartbeatAt : now;
     }
   }
 
+  /** Whether the worker has sent no heartbeat between the newest one received and this one. */
+  private boolean isNextAfterNewest(WorkerHeartbeat heartbeat) {
+    return latestHeartbeat != null
+        && heartbeat.agentEpoch() == latestHeartbeat.agentEpoch()
+        && heartbeat.sequence() == latestHeartbeat.sequence() + 1;
+  }
+
   /**
    * Records that this heartbeat is answered under the token, and returns true. Returns false
    * without recording anything if the heartbeat is a late copy of one that was answered before: the
@@ -158,6 +171,21 @@
     return acknowledgedTerm == term ? Optional.of(termAcknowledgedAt) : Optional.empty();
   }
 
+  /**
+   * Returns a time by which the worker had sent every heartbeat that a leader of an earlier term
+   * can have answered with effect, empty if the worker has shown no token of the term.
+   *
+   * <p>The worker drops replies of earlier leaders once it has accepted a token of the term, so all
+   * these heartbeats were sent before the first message that shows such a token. If the sequence
+   * number proves that the worker sent nothing between that message and the one received before it,
+   * they were sent before the earlier of the two was received.
+   *
+   * @param term the term of this leader, the highest of which a worker can have a token
+   */
+  public Optional<Duration> earlierTermsEndedBy(long term) {
+    return acknowledgedTerm == term ? Optional.of(earlierTermsEndedBy) : Optional.empty();
+  }
+
   /** Returns the number of consecutive replies that the worker has shown no sign of receiving. */
   public int ignoredReplies() {
     return ignoredReplies;
--- a/src/main/java/io/cherryspool/controller/release/LeaseRenewalBound.java
+++ b/src/main/java/io/cherryspool/controller/release/LeaseRenewalBound.java
@@ -1,5 +1,6 @@
 package io.cherryspool.controller.release;
 
+import io.cherryspool.controller.fleet.MachineContact;
 import io.cherryspool.controller.fleet.MachineState;
 import io.cherryspool.controller.ownership.FencingTokenSource;
 import io.cherryspool.controller.timing.Timings;
@@ -9,6 +10,11 @@
  * Computes the latest time at which this leader or an earlier one may have renewed a worker's
  * lease.
  *
+ * <p>An earlier leader may renew leases until its authority ends, or until the worker drops its
+ * replies, whichever comes first. The worker drops them from the moment at which it accepts a token
+ * of this term. This leader learns of that only from a message of the worker, so it assumes that
+ * the worker accepted the token just before the first message that shows one arrived.
+ *
  * <p>Used on the event loop only.
  */
 public final class LeaseRenewalBound {
@@ -55,12 +61,23 @@
 
   /** Returns when the worker's lease may last have been renewed. */
   public Renewal latestRenewal(MachineState machine) {
-    Duration renewedAt = machine.contact().lastLeaseRenewalAt();
-    Duration byThisLeader = renewedAt == null ? termStart : renewedAt;
-    boolean isFenced = machine.contact().hasTokenAbove(tokens.termBase());
-    Duration byEarlierLeader = isFenced ? termStart : endOfEarlierAuthority();
+    Duration byThisLeader = renewalByThisLeader(machine.contact());
+    Duration byEarlierLeader = renewalByEarlierLeader(machine.contact());
     return byThisLeader.compareTo(byEarlierLeader) > 0
         ? new Renewal(byThisLeader, Renewer.THIS_LEADER)
         : new Renewal(byEarlierLeader, Renewer.EARLIER_LEADER);
   }
+
+  private Duration renewalByThisLeader(MachineContact contact) {
+    Duration renewedAt = contact.lastLeaseRenewalAt();
+    return renewedAt == null ? termStart : renewedAt;
+  }
+
+  private Duration renewalByEarlierLeader(MachineContact contact) {
+    Duration authorityEnd = endOfEarlierAuthority();
+    return contact
+        .earlierTermsEndedBy(tokens.term())
+        .filter(endedBy -> endedBy.compareTo(authorityEnd) < 0)
+        .orElse(authorityEnd);
+  }
 }
--- a/src/test/java/io/cherryspool/controller/release/TerminationEvidenceTest.java
+++ b/src/test/java/io/cherryspool/controller/release/TerminationEvidenceTest.java
@@ -54,16 +54,43 @@
       long token,
       WorkerHeartbeat.TaskState state,
       WorkerHeartbeat.ExitCause cause) {
+    receiveAt(1, agentEpoch, token, state, cause);
+  }
+
+  private void receiveAt(
+      double seconds,
+      long agentEpoch,
+      long token,
+      WorkerHeartbeat.TaskState state,
+      WorkerHeartbeat.ExitCause cause) {
     List<WorkerHeartbeat.TaskStatus> tasks =
         state == null ? List.of() : List.of(new WorkerHeartbeat.TaskStatus(TASK, 1, state, cause));
     WorkerHeartbeat heartbeat =
         new WorkerHeartbeat(
             "host-1", "127.0.0.1:1", "box", "a", false, agentEpoch, ++sequence, token, null, tasks);
-    assertTrue(machine.contact().recordHeartbeat(heartbeat, START.plusSeconds(1)));
+    assertTrue(machine.contact().recordHeartbeat(heartbeat, inTerm(seconds)));
+  }
+
+  private void sendHeartbeatToEarlierLeader() {
+    sequence++;
+  }
+
+  private void receiveRunningAt(double seconds, long token) {
+    receiveAt(seconds, 3, token, WorkerHeartbeat.TaskState.RUNNING, null);
   }
 
   private TerminationEvidence.Assessment assessAt(double seconds) {
-    return evidence.assess(owned, machine, START.plusMillis((long) (seconds * 1000)));
+    return evidence.assess(owned, machine, inTerm(seconds));
+  }
+
+  private void assertLostAfter(double seconds) {
+    assertEquals(TerminationEvidence.Assessment.OWNED, assessAt(seconds - 0.1));
+    assertEquals(TerminationEvidence.Assessment.LOST, assessAt(seconds + 0.1));
+  }
+
+  /** Returns the time at which the term has lasted for this long. */
+  private static Duration inTerm(double seconds) {
+    return START.plusMillis((long) (seconds * 1000));
   }
 
   @Test
@@ -138,6 +165,63 @@
     assertEquals(TerminationEvidence.Assessment.LOST, assessAt(4 + LEASE.toSeconds() + 0.1));
   }
 
+  /**
+   * Guards against a release while a lease runs that an earlier leader renewed in this term. The
+   * machine answered a call at the start of the term, and accepted a token of the term much later.
+   */
+  @Test
+  void anEarlierLeaderMayRenewTheLeaseUntilTheMachineShowsATokenOfTheTerm() {
+    receiveRunningAt(0.1, tokens.termBase() - 7);
+    sendHeartbeatToEarlierLeader();
+    receiveRunningAt(10, tokens.current());
+    assertLostAfter(10 + LEASE.toSeconds());
+    receiveRunningAt(11, tokens.current());
+    assertLostAfter(10 + LEASE.toSeconds());
+  }
+
+  /**
+   * The earlier leader can only have answered heartbeats that were sent before the first message.
+   */
+  @Test
+  void anEarlierLeaderHasNotRenewedTheLeaseBetweenTwoConsecutiveMessages() {
+    receiveRunningAt(0.1, tokens.termBase() - 7);
+    receiveRunningAt(4, tokens.current());
+    assertLostAfter(0.1 + LEASE.toSeconds());
+  }
+
+  @Test
+  void anAcknowledgementAfterTheEarlierLeadersAuthorityDelaysNothing() {
+    receiveRunningAt(0.1, tokens.termBase() - 7);
+    sendHeartbeatToEarlierLeader();
+    receiveRunningAt(AUTHORITY.toSeconds() + 6, tokens.current());
+    assertLostAfter(AUTHORITY.toSeconds() + LEASE.toSeconds());
+  }
+
+  @Test
+  void anEarlyAcknowledgementEndsTheWaitForTheEarlierLeader() {
+    receiveRunningAt(0.2, tokens.current());
+    assertLostAfter(0.2 + LEASE.toSeconds());
+  }
+
+  /** The worker may not have received the reply, and may have gone back to the earlier leader. */
+  @Test
+  void aReplyWithoutAnAcknowledgementProvesNothingAboutTheEarlierLeader() {
+    receiveRunningAt(1, tokens.termBase() - 7);
+    machine.contact().recordReply(machine.latestHeartbeat(), tokens.current(), inTerm(1));
+    assertLostAfter(AUTHORITY.toSeconds() + LEASE.toSeconds());
+    sendHeartbeatToEarlierLeader();
+    receiveRunningAt(8, tokens.current());
+    assertLostAfter(8 + LEASE.toSeconds());
+  }
+
+  /** The token stays the highest that the worker has seen when its session changes. */
+  @Test
+  void anAcknowledgementInAnEarlierAgentEpochStillCounts() {
+    receiveAt(5, 2, tokens.current(), null, null);
+    receiveAt(7, 3, tokens.current(), WorkerHeartbeat.TaskState.RUNNING, null);
+    assertLostAfter(7 + LEASE.toSeconds());
+  }
+
   /**
    * Guards against declaring tasks lost as soon as they are placed. A machine whose heartbeats were
    * lost, but which answered direct calls, began a new agent epoch and was given tasks; its lease
