Stop cancelled attempts in the reply that renews their lease

A start that arrives after the cancellation of its job, while a heartbeat is on its way that does not list the task yet, was given another lease by the reply without a stop.

Cause: stops were derived from the listed tasks only; the absence of an owned attempt was taken as its not having started.

A reply now also stops attempts that must stop and are not listed.

--- a/src/main/java/io/cherryspool/controller/leader/CommandDispatcher.java
+++ b/src/main/java/io/cherryspool/controller/leader/CommandDispatcher.java
@@ -1,6 +1,7 @@
 package io.cherryspool.controller.leader;
 
 import io.cherryspool.controller.fleet.MachineState;
+import io.cherryspool.controller.ownership.Ownership;
 import io.cherryspool.controller.rounds.TermState;
 import io.cherryspool.lifecycle.EventLoop;
 import io.cherryspool.model.WorkerCommand;
@@ -75,7 +76,7 @@
    * Returns the commands for the reply to the machine's heartbeat, and records them as delivered.
    */
   List<WorkerCommand> commandsForReply(MachineState machine, long token) {
-    List<WorkerCommand> commands = commandsFor(machine);
+    List<WorkerCommand> commands = planner.replyCommandsFor(machine, ownedTasksOn(machine));
     machine.commandDelivery().recordDelivered(commands, token, loop.now());
     return commands;
   }
@@ -115,7 +116,11 @@
   }
 
   private List<WorkerCommand> commandsFor(MachineState machine) {
-    return planner.commandsFor(machine, state.tasks().ownership().ownedTasksOn(machine.name()));
+    return planner.commandsFor(machine, ownedTasksOn(machine));
+  }
+
+  private List<Ownership.OwnedTask> ownedTasksOn(MachineState machine) {
+    return state.tasks().ownership().ownedTasksOn(machine.name());
   }
 
   /**
--- a/src/main/java/io/cherryspool/controller/leader/WorkerCommandPlanner.java
+++ b/src/main/java/io/cherryspool/controller/leader/WorkerCommandPlanner.java
@@ -56,6 +56,44 @@
     return commands;
   }
 
+  /**
+   * Returns the commands for the reply to the machine's newest heartbeat, in a new list. They are
+   * those of {@link #commandsFor}, and stops of attempts that must stop but are not reported: the
+   * worker may have executed a start since it sent the heartbeat, and the reply renews the lease
+   * under which the attempt then runs. A stop has no effect on a worker without the attempt.
+   *
+   * @param machine the machine, which must have sent a heartbeat in this term
+   * @param owned the tasks that the machine owns by the committed records
+   */
+  List<WorkerCommand> replyCommandsFor(MachineState machine, List<Ownership.OwnedTask> owned) {
+    List<WorkerCommand> commands = commandsFor(machine, owned);
+    for (Ownership.OwnedTask item : owned) {
+      if (mayHaveStarted(item, machine)) {
+        tasks
+            .stopRequests()
+            .gracePeriodFor(item)
+            .map(grace -> WorkerCommand.stop(item.taskId(), item.attempt().number(), grace))
+            .ifPresent(commands::add);
+      }
+    }
+    return commands;
+  }
+
+  /** Whether the attempt is not reported, and may have been started since the newest heartbeat. */
+  private boolean mayHaveStarted(Ownership.OwnedTask owned, MachineState machine) {
+    return isInSameEpoch(owned, machine)
+        && !tasks.pendingReleases().contains(owned)
+        && !isReported(owned, machine);
+  }
+
+  private static boolean isInSameEpoch(Ownership.OwnedTask owned, MachineState machine) {
+    return owned.attempt().agentEpoch() == machine.latestHeartbeat().agentEpoch();
+  }
+
+  private static boolean isReported(Ownership.OwnedTask owned, MachineState machine) {
+    return machine.contact().findTask(owned.taskId(), owned.attempt().number()).isPresent();
+  }
+
   /**
    * Adds a stop command for a task that the machine owns if a stop is requested. While the task
    * already saves a checkpoint, the command is added only to cut the grace period to zero.
@@ -94,13 +132,13 @@
   }
 
   private boolean isStartDue(Ownership.OwnedTask owned, MachineState machine) {
-    return owned.attempt().agentEpoch() == machine.latestHeartbeat().agentEpoch()
+    return isInSameEpoch(owned, machine)
         && owned.jobRecord().outcome() == null
         && !tasks.adoption().isPlacementBlocked(owned.jobRecord())
         && !tasks.stopRequests().isRequested(owned)
         // An attempt that has ended must not be started again while its release is not written yet.
         && !tasks.pendingReleases().contains(owned)
-        && machine.contact().findTask(owned.taskId(), owned.attempt().number()).isEmpty();
+        && !isReported(owned, machine);
   }
 
   /** Returns the owned task whose attempt the status describes, null if there is none. */
--- a/src/test/java/io/cherryspool/controller/leader/WorkerCommandPlannerTest.java
+++ b/src/test/java/io/cherryspool/controller/leader/WorkerCommandPlannerTest.java
@@ -115,4 +115,18 @@
         List.of(WorkerCommand.stop(TASK, 1, Duration.ZERO)),
         planner.commandsFor(machine, List.of()));
   }
+
+  /** The start may have arrived since the heartbeat was sent, and the reply renews the lease. */
+  @Test
+  void aReplyStopsAnAttemptThatMustStopEvenIfItIsNotReported() {
+    stopRequests.add(TASK, 1, Duration.ZERO);
+    receive();
+    assertEquals(List.of(), planner.commandsFor(machine, List.of(owned)));
+    List<WorkerCommand> stop = List.of(WorkerCommand.stop(TASK, 1, Duration.ZERO));
+    assertEquals(stop, planner.replyCommandsFor(machine, List.of(owned)));
+    receive(running());
+    assertEquals(stop, planner.replyCommandsFor(machine, List.of(owned)), "once if it is reported");
+    receive(failed());
+    assertEquals(List.of(), planner.replyCommandsFor(machine, List.of(owned)));
+  }
 }
