--- a/src/test/java/io/cherryspool/sim/driver/LateAcknowledgementDriver.java
+++ b/src/test/java/io/cherryspool/sim/driver/LateAcknowledgementDriver.java
@@ -1,11 +1,7 @@
 package io.cherryspool.sim.driver;
 
 import io.cherryspool.sim.faults.LateAcknowledgementRun;
-import java.util.Map;
-import java.util.TreeMap;
-import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.stream.LongStream;
 
 /**
  * Runs {@link LateAcknowledgementRun} with many seeds and counts the runs in which the faults met,
@@ -15,38 +11,28 @@
   private LateAcknowledgementDriver() {}
 
   public static void main(String[] args) {
-    long firstSeed = Long.parseLong(args[0]);
-    long lastSeed = Long.parseLong(args[1]);
-    Map<Long, String> violations = new ConcurrentSkipListMap<>();
+    SeedSweep sweep = new SeedSweep(Long.parseLong(args[0]), Long.parseLong(args[1]));
     AtomicInteger lateRenewals = new AtomicInteger();
-    LongStream.rangeClosed(firstSeed, lastSeed)
-        .parallel()
-        .forEach(
-            seed -> {
-              LateAcknowledgementRun run = new LateAcknowledgementRun(seed);
-              try {
-                run.run();
-              } catch (AssertionError violation) {
-                violations.put(seed, violation.getMessage());
-              }
-              if (run.hasLateRenewal()) {
-                lateRenewals.incrementAndGet();
-              }
-            });
-    Map<String, Integer> violationCounts = new TreeMap<>();
-    violations.forEach(
-        (seed, message) -> {
-          System.out.println("seed " + seed + ": " + message);
-          violationCounts.merge(message.substring(0, message.indexOf(':')), 1, Integer::sum);
+    sweep.run(
+        seed -> {
+          LateAcknowledgementRun run = new LateAcknowledgementRun(seed);
+          String violation = violationOf(run);
+          if (run.hasLateRenewal()) {
+            lateRenewals.incrementAndGet();
+          }
+          return violation;
         });
-    System.out.println(
-        "seeds "
-            + firstSeed
-            + " to "
-            + lastSeed
-            + ": late renewals in "
-            + lateRenewals
-            + " runs, broken rules "
-            + violationCounts);
+    sweep.printViolations();
+    System.out.println(sweep.summary() + ", late renewals in " + lateRenewals + " runs");
+  }
+
+  /** Runs the simulation and returns the description of its violation; null if there is none. */
+  private static String violationOf(LateAcknowledgementRun run) {
+    try {
+      run.run();
+      return null;
+    } catch (AssertionError violation) {
+      return violation.getMessage();
+    }
   }
 }
--- a/src/test/java/io/cherryspool/sim/driver/WaitingJobsDriver.java
+++ b/src/test/java/io/cherryspool/sim/driver/WaitingJobsDriver.java
@@ -5,12 +5,8 @@
 import io.cherryspool.sim.cluster.SimulatedCluster;
 import io.cherryspool.sim.partition.RandomVerdicts;
 import java.time.Duration;
-import java.util.Map;
-import java.util.TreeMap;
-import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import java.util.stream.LongStream;
 
 /**
  * Runs the randomized simulation with many seeds and counts the violations of each rule. A single
@@ -39,28 +35,21 @@
   private WaitingJobsDriver() {}
 
   public static void main(String[] args) {
-    long firstSeed = Long.parseLong(args[1]);
-    long lastSeed = Long.parseLong(args[2]);
-    Map<Long, String> violations = new ConcurrentSkipListMap<>();
-    LongStream.rangeClosed(firstSeed, lastSeed)
-        .parallel()
-        .forEach(
-            seed -> {
-              RandomizedRun run = newRun(args[0], seed);
-              try {
-                runFor(args[0], run);
-              } catch (AssertionError violation) {
-                violations.put(seed, violation.getMessage() + describeJob(run, violation));
-              }
-            });
-    Map<String, Integer> violationCounts = new TreeMap<>();
-    violations.forEach(
-        (seed, message) -> {
-          System.out.println("seed " + seed + ": " + message);
-          violationCounts.merge(message.substring(0, message.indexOf(':')), 1, Integer::sum);
-        });
-    System.out.println(
-        args[0] + ", seeds " + firstSeed + " to " + lastSeed + ": " + violationCounts);
+    SeedSweep sweep = new SeedSweep(Long.parseLong(args[1]), Long.parseLong(args[2]));
+    sweep.run(seed -> violationOf(args[0], seed));
+    sweep.printViolations();
+    System.out.println(args[0] + ", " + sweep.summary());
+  }
+
+  /** Runs one seed and returns the description of its violation; null if there is none. */
+  private static String violationOf(String kind, long seed) {
+    RandomizedRun run = newRun(kind, seed);
+    try {
+      runFor(kind, run);
+      return null;
+    } catch (AssertionError violation) {
+      return violation.getMessage() + describeJob(run, violation);
+    }
   }
 
   private static RandomizedRun newRun(String kind, long seed) {
