--- a/src/main/java/io/cherryspool/controller/release/LeaseRenewalBound.java
+++ b/src/main/java/io/cherryspool/controller/release/LeaseRenewalBound.java
@@ -11,9 +11,9 @@
  * lease.
  *
  * <p>An earlier leader may renew leases until its authority ends, or until the worker drops its
- * replies, whichever comes first. The worker drops them from the moment at which it accepts a token
- * of this term. This leader learns of that only from a message of the worker, so it assumes that
- * the worker accepted the token just before the first message that shows one arrived.
+ * replies, whichever comes first. The worker drops them once it has accepted a token of this term,
+ * which may be much later than this leader's first contact with it. This leader learns of that only
+ * from the worker's messages, see {@link MachineContact#earlierTermsEndedBy}.
  *
  * <p>Used on the event loop only.
  */
