--- a/review/standins-2/Http.java
+++ b/review/standins-2/Http.java
@@ -2,6 +2,7 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -13,6 +14,7 @@
 import java.time.Duration;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** HTTP servers and clients of the stand-ins. */
 final class Http {
@@ -93,10 +95,19 @@
     return ifAbsent;
   }
 
+  /**
+   * Returns a free port below those that the system assigns by itself, so that no other socket
+   * takes it before a controller listens on it.
+   */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket()) {
-      socket.bind(new InetSocketAddress("127.0.0.1", 0));
-      return socket.getLocalPort();
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(12_000, 30_000);
+      try (ServerSocket socket = new ServerSocket()) {
+        socket.bind(new InetSocketAddress("127.0.0.1", port));
+        return port;
+      } catch (BindException e) {
+        // The port is in use.
+      }
     }
   }
 
--- a/review/standins-2/Judge.java
+++ b/review/standins-2/Judge.java
@@ -110,6 +110,10 @@
     }
   }
 
+  synchronized boolean isDone(String task) {
+    return done.containsKey(task);
+  }
+
   synchronized int doneTasks(String id) {
     int count = 0;
     for (String task : done.keySet()) {
--- a/review/standins-2/Platform.java
+++ b/review/standins-2/Platform.java
@@ -49,8 +49,9 @@
   private final Map<String, ArrayNode> hires = new HashMap<>();
   private final ArrayDeque<Object[]> lists = new ArrayDeque<>();
   private int count;
-  private boolean isDown;
   boolean mayRent = true;
+  final List<Worker> allWorkers = new java.util.concurrent.CopyOnWriteArrayList<>();
+  volatile int deleted;
 
   Platform(
       Recorder recorder,
@@ -75,10 +76,6 @@
     return Http.address(server);
   }
 
-  synchronized void setDown(boolean down) {
-    isDown = down;
-  }
-
   private void takeLists() {
     try {
       while (true) {
@@ -110,9 +107,6 @@
   private Http.Answer handle(String method, String path, String query, byte[] body)
       throws Exception {
     Thread.sleep(60);
-    if (isDown) {
-      return Http.Answer.error(503, "trouble");
-    }
     switch (path) {
       case "/catalog" -> {
         return Http.Answer.of(200, catalog());
@@ -127,6 +121,7 @@
             }
           }
         }
+        deleted += doomed.size();
         doomed.forEach(machine -> remove(machine, "deleted"));
         return Http.Answer.of(200, Json.object());
       }
@@ -223,6 +218,7 @@
       }
       machine.worker = new Worker(this, machine);
       machine.isUp = true;
+      allWorkers.add(machine.worker);
     }
     recorder.add("cloud: %s is up", machine.name);
     machine.worker.start();
--- a/review/standins-2/Site.java
+++ b/review/standins-2/Site.java
@@ -13,6 +13,31 @@
 
 /** A small deployment: three controllers as processes of their own, and the stand-ins. */
 final class Site {
+  /** Returns the settings of the plate and title processing. */
+  static Facts coastplate() {
+    Facts facts = new Facts();
+    facts.reportS = 3;
+    facts.leaseS = 24;
+    facts.cancelS = 54;
+    facts.rps = 200;
+    facts.writeRps = 25;
+    facts.valueKb = 8;
+    facts.txnOps = 8;
+    facts.cloudRps = 8;
+    facts.listLagS = 3;
+    facts.capacity = 48;
+    facts.teamCpus = 0;
+    facts.teamLimit = 0;
+    facts.teams = List.of("plates-crew");
+    facts.zones = List.of("fraser-rack", "island-dc", "okanagan-dc");
+    facts.types =
+        List.of(
+            new Platform.Type("wren", 4, 8, 30, 0.8, 0.27, 0.1, 50, facts.zones),
+            new Platform.Type("heron", 8, 16, 70, 0.4, 0.55, 0.2, 50, facts.zones),
+            new Platform.Type("orca", 16, 64, 70, 1.0, 1.19, 0.4, 25, facts.zones));
+    return facts;
+  }
+
   /** The settings of the gift card clearing, the smaller fields of which a case may change. */
   static final class Facts {
     double reportS = 2.5;
@@ -59,7 +84,9 @@
     this.facts = facts;
     recorder = new Recorder(record);
     judge = new Judge(recorder, facts.cancelS);
-    facts.teams.forEach(team -> judge.limit(team, facts.teamLimit));
+    if (facts.teamLimit > 0) {
+      facts.teams.forEach(team -> judge.limit(team, facts.teamLimit));
+    }
     state = new StateService(facts.rps, facts.writeRps, facts.valueKb, facts.txnOps);
     platform =
         new Platform(
@@ -172,17 +199,6 @@
     }
   }
 
-  /** Sends a signal to a controller, by its process id. */
-  void signal(String name, String signal) throws IOException, InterruptedException {
-    recorder.add("controller %s: signal %s", name, signal);
-    new ProcessBuilder("kill", "-" + signal, String.valueOf(processes.get(name).pid()))
-        .start()
-        .waitFor();
-    if (signal.equals("KILL")) {
-      processes.get(name).waitFor();
-    }
-  }
-
   boolean isReady(String name) throws InterruptedException {
     Http.Answer answer = Http.send(client, "GET", addresses.get(name), "/ready", null, 1);
     return answer != null && answer.status() == 200;
@@ -205,12 +221,6 @@
     return false;
   }
 
-  /** Returns the name of the leading controller by the records, null if there is none. */
-  String leader() {
-    JsonNode record = state.value("c/leader");
-    return record == null ? null : record.path("node").asText();
-  }
-
   /** Returns a submission with the fields of the protocol. */
   ObjectNode job(String id, String team, int pieces, double vcpus, double memGb, double expectS) {
     ObjectNode job = Json.object().put("ref", id).put("lane", "voucher-reconcile");
--- a/review/standins-2/StateService.java
+++ b/review/standins-2/StateService.java
@@ -6,32 +6,17 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 
 /**
  * A stand-in for the state service, with the limits of the protocol. Each controller has an address
- * of its own here, so that the service can refuse or ignore a single controller.
+ * of its own here.
  */
 final class StateService {
   private static final int KEPT_CHANGES = 10_000;
 
-  /** What the service does with a transaction. */
-  enum Fate {
-    NORMAL,
-    /** Executed, but the answer is lost. */
-    ANSWER_LOST,
-    /** Not answered, and executed after {@link #lateMillis}. */
-    LATE
-  }
-
-  interface FateRule {
-    Fate of(String node, JsonNode body);
-  }
-
   private record Item(JsonNode value, byte[] text, long stamp, long lease) {}
 
   private record Event(long stamp, String key, byte[] text) {}
@@ -45,7 +30,6 @@
   private final ArrayDeque<Event> events = new ArrayDeque<>();
   private final Map<Long, Lease> leases = new HashMap<>();
   private final Map<String, HttpServer> servers = new HashMap<>();
-  private final Set<String> refused = new HashSet<>();
   private final double rps;
   private final double writeRps;
   private final int valueBytes;
@@ -56,10 +40,6 @@
   private long epoch;
   private long compactedTo;
   private long nextLease = 1;
-  private boolean isDown;
-  private final Set<String> held = new HashSet<>();
-  private FateRule fates = (node, body) -> Fate.NORMAL;
-  long lateMillis = 3000;
   long rejectedAsMalformed;
   long limited;
 
@@ -76,83 +56,32 @@
   /** Opens an address for a controller. */
   String open(String node) throws IOException {
     HttpServer server =
-        Http.serve((method, path, query, body) -> handle(node, method, path, query, body));
+        Http.serve((method, path, query, body) -> handle(method, path, query, body));
     servers.put(node, server);
     return Http.address(server);
   }
 
-  synchronized void setFates(FateRule rule) {
-    fates = rule;
-  }
-
-  synchronized void setDown(boolean down) {
-    if (isDown && !down) {
-      leases.values().forEach(lease -> lease.endsAt = now() + lease.ttlMillis);
-    }
-    isDown = down;
-    notifyAll();
-  }
-
-  synchronized void setRefused(String node, boolean isRefused) {
-    if (isRefused) {
-      refused.add(node);
-    } else {
-      refused.remove(node);
-    }
-    notifyAll();
-  }
-
-  /**
-   * Holds the requests of a controller, as a cut of the network does. They are executed when the
-   * cut ends, after the controller has given them up.
-   */
-  synchronized void setHeld(String node, boolean isHeld) {
-    if (isHeld) {
-      held.add(node);
-    } else {
-      held.remove(node);
-    }
-    notifyAll();
-  }
-
   /** Returns the value of a key, null if there is none. */
   synchronized JsonNode value(String key) {
     Item item = items.get(key);
     return item == null ? null : item.value;
   }
 
-  synchronized int count(String prefix) {
-    return items.subMap(prefix, prefix + "\uffff").size();
-  }
-
-  /** Puts keys as one change, as an earlier transaction of a controller did. */
-  synchronized void putAll(Map<String, JsonNode> values) {
-    epoch++;
-    values.forEach((key, value) -> put(key, value, 0));
-    notifyAll();
-  }
-
   private static long now() {
     return System.nanoTime() / 1_000_000;
   }
 
-  private boolean isRefusing(String node) {
-    return isDown || refused.contains(node);
-  }
-
   private void expireLeases() {
     while (true) {
       synchronized (this) {
-        if (!isDown) {
-          List<Long> over = new ArrayList<>();
-          leases.forEach(
-              (id, lease) -> {
-                if (lease.endsAt < now()) {
-                  over.add(id);
-                }
-              });
-          over.forEach(this::endLease);
-        }
+        List<Long> over = new ArrayList<>();
+        leases.forEach(
+            (id, lease) -> {
+              if (lease.endsAt < now()) {
+                over.add(id);
+              }
+            });
+        over.forEach(this::endLease);
       }
       try {
         Thread.sleep(20);
@@ -205,16 +134,10 @@
     writeTokens = Math.min(writeRps, writeTokens + seconds * writeRps);
   }
 
-  private Http.Answer handle(String node, String method, String path, String query, byte[] body)
+  private Http.Answer handle(String method, String path, String query, byte[] body)
       throws Exception {
     Thread.sleep(2);
     synchronized (this) {
-      while (held.contains(node)) {
-        wait();
-      }
-      if (isRefusing(node)) {
-        return Http.Answer.error(503, "trouble");
-      }
       refill();
       if (requestTokens < 1) {
         limited++;
@@ -223,10 +146,10 @@
       requestTokens--;
     }
     if (path.equals("/follow")) {
-      return follow(node, query);
+      return follow(query);
     }
     if (path.equals("/commit")) {
-      return commit(node, body);
+      return commit(body);
     }
     synchronized (this) {
       if (path.equals("/keys")) {
@@ -268,9 +191,8 @@
     return Http.Answer.error(400, "malformed");
   }
 
-  private Http.Answer commit(String node, byte[] text) throws Exception {
+  private Http.Answer commit(byte[] text) throws IOException {
     JsonNode body = Json.parse(text);
-    Fate fate;
     synchronized (this) {
       refill();
       int writes = body.path("apply").size();
@@ -279,19 +201,8 @@
         return Http.Answer.error(429, "too many changes");
       }
       writeTokens -= writes;
-      fate = fates.of(node, body);
-    }
-    if (fate == Fate.LATE) {
-      Thread.sleep(lateMillis);
-      apply(body, text.length);
-      return null;
-    }
-    Http.Answer answer = apply(body, text.length);
-    if (fate == Fate.ANSWER_LOST) {
-      Thread.sleep(20_000);
-      return null;
     }
-    return answer;
+    return apply(body, text.length);
   }
 
   private synchronized Http.Answer apply(JsonNode body, int bytes) {
@@ -365,33 +276,28 @@
     return Http.Answer.of(200, page.put("has_next", hasNext).put("epoch", epoch));
   }
 
-  private Http.Answer follow(String node, String query) throws InterruptedException {
+  private synchronized Http.Answer follow(String query) throws InterruptedException {
     String prefix = Http.parameter(query, "starts", "");
     long from = Long.parseLong(Http.parameter(query, "from", "0"));
     long until = now() + Long.parseLong(Http.parameter(query, "block_ms", "0"));
-    synchronized (this) {
-      while (true) {
-        boolean isWaiting = isRefusing(node);
-        if (!isWaiting) {
-          if (from < compactedTo) {
-            return Http.Answer.error(410, "too old");
-          }
-          List<Event> found = new ArrayList<>();
-          for (var it = events.descendingIterator(); it.hasNext(); ) {
-            Event event = it.next();
-            if (event.stamp <= from) {
-              break;
-            }
-            if (event.key.startsWith(prefix)) {
-              found.add(event);
-            }
-          }
-          if (!found.isEmpty() || now() >= until) {
-            return events(found);
-          }
+    while (true) {
+      if (from < compactedTo) {
+        return Http.Answer.error(410, "too old");
+      }
+      List<Event> found = new ArrayList<>();
+      for (var it = events.descendingIterator(); it.hasNext(); ) {
+        Event event = it.next();
+        if (event.stamp <= from) {
+          break;
         }
-        wait(Math.max(1, isWaiting ? 100 : until - now()));
+        if (event.key.startsWith(prefix)) {
+          found.add(event);
+        }
+      }
+      if (!found.isEmpty() || now() >= until) {
+        return events(found);
       }
+      wait(Math.max(1, until - now()));
     }
   }
 
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -6,11 +6,9 @@
 import java.net.http.HttpClient;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /** A stand-in for the worker of one machine. */
 final class Worker {
@@ -40,15 +38,7 @@
   private double leaseFrom;
   private boolean isChanged;
   private boolean isEnded;
-  private double hungUntil;
-  /** Controllers that this machine can't reach, and whether direct commands reach it. */
-  final Set<String> unreachable = new HashSet<>();
-
-  /** If set, copies of a fifth of the reports arrive again later, at any controller. */
-  static java.util.Random lateCopies;
-
-  volatile boolean isDirectCut;
-  volatile Double warningS;
+  private volatile boolean isSilent;
   int leasesLost;
   int refusedReports;
   int largestReport;
@@ -83,23 +73,28 @@
     server.stop(0);
   }
 
-  synchronized void hang(double seconds) {
-    hungUntil = recorder.now() + seconds;
-    recorder.add("worker %s hangs for %.1f s", machine.name, seconds);
-  }
-
-  private boolean isHung() {
-    return recorder.now() < hungUntil;
-  }
-
-  private void awaitContinue() throws InterruptedException {
-    while (isHung()) {
-      Thread.sleep(20);
+  /** The machine is taken away: all on it is gone, and it says nothing any more. */
+  synchronized void vanish() {
+    isSilent = true;
+    isEnded = true;
+    for (Attempt attempt : attempts.values()) {
+      leave(attempt, "machine taken");
     }
+    attempts.clear();
   }
 
-  synchronized int attemptCount() {
-    return attempts.size();
+  /** Whether one more task of the job fits beside what is on the machine. */
+  synchronized boolean hasRoomFor(JsonNode job) {
+    double cpus = job.path("vcpus").asDouble();
+    double memory = job.path("mem_gb").asDouble();
+    for (Attempt attempt : attempts.values()) {
+      if (!attempt.status.equals("ended")) {
+        JsonNode other = judge.job(attempt.task.substring(0, attempt.task.indexOf('/')));
+        cpus += other.path("vcpus").asDouble();
+        memory += other.path("mem_gb").asDouble();
+      }
+    }
+    return !isEnded && cpus <= machine.type.vcpus() && memory <= machine.type.memGb();
   }
 
   private void leave(Attempt attempt, String why) {
@@ -128,7 +123,6 @@
   private void taskLoop() {
     try {
       while (!isEnded) {
-        awaitContinue();
         checkLease();
         synchronized (this) {
           for (Attempt attempt : new ArrayList<>(attempts.values())) {
@@ -151,7 +145,9 @@
       case "pulling" -> {
         attempt.status = "running";
         attempt.isOn = true;
-        attempt.nextAt = recorder.now() + judge.runSeconds.get(id);
+        // The result of a task that was done before is kept.
+        attempt.nextAt =
+            recorder.now() + (judge.isDone(attempt.task) ? 0 : judge.runSeconds.get(id));
         judge.onMachine(attempt.task, machine);
         isChanged = true;
       }
@@ -178,7 +174,7 @@
     ObjectNode node = Json.object().put("spindle", machine.name).put("endpoint", address());
     node.put("build", machine.type.name()).put("yard", machine.yard);
     node.put("loaners", machine.isSpot).put("shift", shift).put("tick", tick).put("baton", baton);
-    node.put("warning_s", warningS);
+    node.putNull("warning_s");
     ArrayNode pieces = node.putArray("pieces");
     for (Attempt attempt : attempts.values()) {
       ObjectNode item = pieces.addObject().put("piece", attempt.task).put("try", attempt.number);
@@ -202,7 +198,6 @@
     double batonChangeAt = 0;
     try {
       while (!isEnded) {
-        awaitContinue();
         boolean isDue = recorder.now() >= nextAt;
         synchronized (this) {
           if (baton > seenBaton && recorder.now() - batonChangeAt > platform.leaseS / 2) {
@@ -241,19 +236,8 @@
     synchronized (this) {
       isChanged = false;
     }
-    Http.Answer answer = null;
-    if (lateCopies != null && lateCopies.nextInt(5) == 0) {
-      long delay = 2000 + lateCopies.nextInt(28_000);
-      String to = names.get(lateCopies.nextInt(names.size()));
-      Http.THREADS.execute(() -> sendCopy(body, to, delay));
-    }
-    if (unreachable.contains(name)) {
-      Thread.sleep(4000);
-    } else {
-      answer =
-          Http.send(client, "POST", platform.controllers.get(name), "/v1/report", body, 4.0);
-    }
-    awaitContinue();
+    Http.Answer answer =
+        Http.send(client, "POST", platform.controllers.get(name), "/v1/report", body, 4.0);
     checkLease();
     if (isEnded) {
       return -1;
@@ -303,15 +287,6 @@
     return true;
   }
 
-  private void sendCopy(byte[] body, String to, long delayMillis) {
-    try {
-      Thread.sleep(delayMillis);
-      Http.send(client, "POST", platform.controllers.get(to), "/v1/report", body, 4.0);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   private static JsonNode tryParse(byte[] text) {
     try {
       return Json.parse(text);
@@ -322,8 +297,7 @@
 
   private Http.Answer handle(String method, String path, String query, byte[] body)
       throws Exception {
-    awaitContinue();
-    while (isDirectCut && !isEnded) {
+    while (isSilent && !machine.isGone) {
       Thread.sleep(50);
     }
     if (isEnded) {
